--- a/cmd/egretnode/main.go
+++ b/cmd/egretnode/main.go
@@ -18,6 +18,7 @@
 	"github.com/egretfield/egretfield/internal/settings"
 	"github.com/egretfield/egretfield/internal/telemetry"
 	"github.com/egretfield/egretfield/internal/version"
+	"github.com/egretfield/egretfield/platform"
 )
 
 const usage = `egretnode runs beside each backend server of the fleet.
@@ -25,6 +26,7 @@
 usage: egretnode -settings FILE [-address-file FILE]
 
 SIGTERM drains the instance and leaves the fleet; no request in flight is cut off.
+SIGHUP reads the settings again: the log level changes at once, all else needs a restart.
 
 `
 
@@ -68,15 +70,31 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	go watchReload(ctx, n, file)
 	return n.Run(ctx)
 }
 
+// watchReload checks the settings file again at each SIGHUP.
+func watchReload(ctx context.Context, n *node.Node, file string) {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			n.Reload(settings.Load(file))
+		}
+	}
+}
+
 // newNode sets up the process and makes the node.
 func newNode(loaded *pb.NodeSettings) (*node.Node, error) {
 	runtime.GOMAXPROCS(int(loaded.GetMaxProcs()))
 	debug.SetGCPercent(int(loaded.GetGcPercent()))
 	debug.SetMemoryLimit(int64(loaded.GetMemoryLimitMib()) << 20)
-	logger, level, err := telemetry.NewLogger(os.Stderr, loaded.GetLogFormat(), loaded.GetLogLevel())
+	logger, level, err := telemetry.NewLogger(os.Stdout, loaded.GetLogFormat(), loaded.GetLogLevel())
 	if err != nil {
 		return nil, err
 	}
@@ -84,5 +102,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return node.New(node.Options{Settings: loaded, Logger: logger, Level: level, Metrics: metrics})
+	options := node.Options{Settings: loaded, Logger: logger, Level: level, Metrics: metrics}
+	if loaded.GetPlatform() != nil {
+		options.Platform = platform.New(loaded)
+	}
+	return node.New(options)
 }
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -43,6 +43,9 @@
 	mu      sync.Mutex
 	current Change
 	heard   time.Time
+	// position is that of the newest statement, for backend servers that number
+	// theirs.
+	position position
 }
 
 // NewReceiver returns a receiver that calls onChange for each change, one call
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -39,6 +39,8 @@
 		return c.problems
 	}
 	services := c.checkServices(config.GetServices())
+	c.checkRequestRoutes(config.GetRequestRoutes(), services)
+	c.checkCallerLimits(config.GetCallerLimits())
 	c.checkPresets(config, services)
 	c.within("max_call_depth", uint64(config.GetMaxCallDepth()), maxCallDepth, "calls")
 	c.within("", uint64(size(config)), MaxSize, "bytes encoded")
--- a/internal/configlog/fold.go
+++ b/internal/configlog/fold.go
@@ -19,8 +19,10 @@
 	switch {
 	case entry != nil:
 		return state.advance(record, state.Config, entry), entry
-	case message.GetSnapshot() != nil, state.Find(message.GetId()) != nil:
+	case message.GetSnapshot() != nil, message.GetReplace() == nil && state.Find(message.GetId()) != nil:
 		return state.advance(record, state.Config, nil), nil
+	case message.GetReplace() != nil:
+		return foldReplace(state, message, record)
 	}
 	entry = newEntry(message, record)
 	next := judge(state, message, entry)
--- a/internal/configlog/follow_log.go
+++ b/internal/configlog/follow_log.go
@@ -15,11 +15,12 @@
 
 // Reading of the log.
 const (
-	readBatch   = 16 // records
-	readWait    = 2 * time.Second
-	readTimeout = readWait + 15*time.Second
-	minBackoff  = 200 * time.Millisecond
-	maxBackoff  = 2 * time.Second
+	readBatch = 16 // records
+	readWait  = 2 * time.Second
+	// readGrace is the time beyond its wait that a read may take.
+	readGrace  = 15 * time.Second
+	minBackoff = 200 * time.Millisecond
+	maxBackoff = 2 * time.Second
 )
 
 var (
@@ -46,18 +47,26 @@
 	return nil
 }
 
+// readWait is how long a read waits for a record.
+func (f *Follower) readWait() time.Duration {
+	if f.options.ReadWait > 0 {
+		return f.options.ReadWait
+	}
+	return readWait
+}
+
 func (f *Follower) direct() bool {
 	return f.options.Direct == nil || f.options.Direct()
 }
 
 // readLog reads one batch, waiting for new records when there are none.
 func (f *Follower) readLog(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.readWait()+readGrace)
 	defer cancel()
 	if err := f.findTarget(ctx); err != nil {
 		return err
 	}
-	wait := readWait
+	wait := f.readWait()
 	if !f.direct() {
 		wait = 0
 	}
@@ -87,7 +96,7 @@
 	if known {
 		return nil
 	}
-	bounds, err := f.options.Log.Bounds(ctx, platformlog.ConfigStream)
+	bounds, err := f.startBounds(ctx)
 	if err != nil {
 		return err
 	}
@@ -103,9 +112,35 @@
 	return nil
 }
 
+// startBounds returns the limits of the stream. A log with keys gives the newest
+// configuration along with them.
+func (f *Follower) startBounds(ctx context.Context) (platformlog.Bounds, error) {
+	if keyed, ok := f.options.Log.(platformlog.Keyed); ok {
+		return f.adoptNewest(ctx, keyed)
+	}
+	return f.options.Log.Bounds(ctx, platformlog.ConfigStream)
+}
+
+// adoptNewest starts the fold at the newest configuration that a log with keys
+// holds, unless the state is newer.
+func (f *Follower) adoptNewest(ctx context.Context, log platformlog.Keyed) (platformlog.Bounds, error) {
+	records, bounds, err := log.Newest(ctx, platformlog.ConfigStream)
+	if err != nil {
+		return bounds, err
+	}
+	if state, ok := startFromNewest(records, bounds); ok {
+		f.adopt(state, fromLog)
+	}
+	return bounds, nil
+}
+
 // startFromSnapshot looks for a snapshot among the records kept and starts the
 // fold there.
 func (f *Follower) startFromSnapshot(ctx context.Context) error {
+	if keyed, ok := f.options.Log.(platformlog.Keyed); ok {
+		_, err := f.adoptNewest(ctx, keyed)
+		return err
+	}
 	bounds, err := f.options.Log.Bounds(ctx, platformlog.ConfigStream)
 	if err != nil {
 		return err
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -31,6 +31,8 @@
 	// that doesn't leaves that to peers, and reads the log itself once none has
 	// known the end of it for a while. Nil: it does.
 	Direct func() bool
+	// ReadWait is how long a read of the log waits for a record. Zero: 2 s.
+	ReadWait time.Duration
 	// Logger gets a line for each change of state. Nil: none.
 	Logger *zap.Logger
 	// Meter counts. Nil: none.
--- /dev/null
+++ b/internal/configlog/replace.go
@@ -0,0 +1,68 @@
+package configlog
+
+import (
+	"github.com/egretfield/egretfield/internal/config"
+	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/platformlog"
+)
+
+// foldReplace folds a record that replaces the whole configuration. The hash
+// starts anew with it, so that a node that starts at this record agrees with one
+// that folded every record before. A record that changes nothing keeps the hash.
+func foldReplace(state State, message *pb.ConfigRecord, record platformlog.Record) (State, *pb.AuditEntry) {
+	next := State{Config: state.Config, FoldedThrough: record.Offset, Chain: state.Chain}
+	replacement := message.GetReplace().GetConfig()
+	if replacement == nil {
+		return next, nil
+	}
+	entry := newEntry(message, record)
+	if reason := refuseReplacement(state, replacement); reason != nil {
+		refuse(entry, reason.kind, reason.message)
+		next.Config = withAudit(state.Config, entry)
+		return next, entry
+	}
+	changed := accept(state, entry)
+	changed.Config = replacement
+	changed.Preset = replacement.GetDefaultPreset()
+	next.Config = withAudit(putInForce(state, changed, entry), entry)
+	next.Chain = link(0, record.Offset, record.Data, true)
+	return next, entry
+}
+
+// refusal says why a record is refused.
+type refusal struct {
+	kind    pb.ErrorKind
+	message string
+}
+
+// refuseReplacement returns why a configuration doesn't replace the state's, or
+// nil.
+func refuseReplacement(state State, replacement *pb.Config) *refusal {
+	if replacement.GetOperatorVersion() <= state.Config.GetConfig().GetOperatorVersion() {
+		return &refusal{pb.ErrorKind_ERROR_KIND_CONFLICT, "the version isn't above the one in force"}
+	}
+	if err := config.Check(replacement); err != nil {
+		return &refusal{pb.ErrorKind_ERROR_KIND_INVALID_CONFIG, err.Error()}
+	}
+	return nil
+}
+
+// startFromNewest returns the state of the newest replacement among the records,
+// as of the end of the stream: whatever lies between was superseded or is no
+// configuration. It reports false when there is none.
+func startFromNewest(records []platformlog.Record, bounds platformlog.Bounds) (State, bool) {
+	for i := len(records) - 1; i >= 0; i-- {
+		message, failed := decode(records[i])
+		if failed != nil || message.GetReplace().GetConfig() == nil {
+			continue
+		}
+		before := Empty()
+		before.FoldedThrough = records[i].Offset - 1
+		state, entry := foldReplace(before, message, records[i])
+		if entry.GetAccepted() {
+			state.FoldedThrough = max(state.FoldedThrough, bounds.Next-1)
+			return state, true
+		}
+	}
+	return State{}, false
+}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -29,7 +29,7 @@
 }
 
 func newCallerBody(x *exchange) *callerBody {
-	return &callerBody{body: x.r.Body, control: http.NewResponseController(x.w), left: x.route.maxBody}
+	return &callerBody{body: x.r.Body, control: http.NewResponseController(x.w), left: x.maxBody}
 }
 
 // Read reads on; a body that doesn't move for senderLimit fails.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,6 +32,10 @@
 type Options struct {
 	Instance string
 	Region   string
+	// Service is that of the backend server beside the node; empty: unknown.
+	Service string
+	// Headers are those that callers use; nil: wire.DefaultHeaders.
+	Headers *wire.Headers
 	// Local serves picks of this instance without a connection; may be nil.
 	Local LocalGate
 	// BalancerFor returns the balancer of a configured service, or nil.
@@ -62,6 +66,8 @@
 	routes  atomic.Pointer[Routes]
 	metrics metrics
 
+	// stopping: callers are asked to go to another node.
+	stopping atomic.Bool
 	// running counts exchanges and reports to keepers.
 	running atomic.Int64
 
@@ -77,6 +83,9 @@
 	if options.MaxHeldBytes == 0 {
 		options.MaxHeldBytes = DefaultMaxHeldBytes
 	}
+	if options.Headers == nil {
+		options.Headers = wire.DefaultHeaders()
+	}
 	options.Client.BetweenNodes = true
 	h := &Handler{
 		options: options,
@@ -109,6 +118,12 @@
 	h.routes.Store(routes)
 }
 
+// SetStopping makes every answer ask its caller to use another connection.
+// Requests that still come are served.
+func (h *Handler) SetStopping() {
+	h.stopping.Store(true)
+}
+
 // Close closes the idle connections to gates.
 func (h *Handler) Close() {
 	h.client.Close()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -34,6 +34,7 @@
 	stream    *callerBody
 	expects   bool // the caller waits for 100-continue
 	key       string
+	maxBody   int64 // bytes
 	firstSend bool
 	reserved  int64
 	buffer    *[]byte // of a prefetched answer
@@ -220,7 +221,7 @@
 	if isRefusal(answer) {
 		return x.goesElsewhere(answer)
 	}
-	if !x.call.Idempotent || x.call.Depth > 0 || x.attempts >= x.service.maxAttempts {
+	if !x.call.Idempotent || x.call.Depth > 0 || x.attempts >= x.maxAttempts() {
 		return false
 	}
 	if !isFailure(answer) {
@@ -233,11 +234,19 @@
 	return x.failures <= maxFailures && x.service.state.budget.Take()
 }
 
+// maxAttempts is the greatest number of attempts that may run.
+func (x *exchange) maxAttempts() int {
+	if x.route.maxAttempts > 0 {
+		return x.route.maxAttempts
+	}
+	return x.service.maxAttempts
+}
+
 // goesElsewhere reports whether a certified refusal is tried at another
 // backend server. Refusals for load use up the retry budget.
 func (x *exchange) goesElsewhere(answer *wire.Answer) bool {
 	if answer.Kind == pb.ErrorKind_ERROR_KIND_OVERLOADED {
-		return x.attempts < x.service.maxAttempts && x.service.state.budget.Take()
+		return x.attempts < x.maxAttempts() && x.service.state.budget.Take()
 	}
 	return x.attempts < maxRefusals
 }
@@ -279,16 +288,16 @@
 // write writes the final answer to the caller.
 func (x *exchange) write(answer *wire.Answer) {
 	x.count(answer)
-	if x.unread() {
+	if x.unread() || x.handler.stopping.Load() {
 		x.w.Header()["Connection"] = []string{"close"}
 	}
 	if answer.Kind != 0 {
-		wire.WriteError(x.w, answer.Kind, answer.Message, x.requestID)
+		answer.WriteError(x.w, x.handler.options.Headers.RequestID, x.requestID)
 		return
 	}
 	if answer.Status < http.StatusInternalServerError {
 		x.service.state.budget.Success()
 	}
-	x.w.Header()[wire.HeaderRequestID] = []string{x.requestID}
+	x.w.Header()[x.handler.options.Headers.RequestID] = []string{x.requestID}
 	x.open.Bytes += wire.WriteAnswer(x.w, answer)
 }
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -38,26 +38,27 @@
 	if routes == nil {
 		return wire.Fail(pb.ErrorKind_ERROR_KIND_NOT_READY, "the node has no configuration yet")
 	}
-	service, uri, path := routes.find(x.r)
-	if service == nil {
+	found, ok := routes.find(x.r)
+	if !ok {
 		return wire.Fail(pb.ErrorKind_ERROR_KIND_UNKNOWN_SERVICE, "neither host nor path names a service")
 	}
-	x.service = service
-	x.route = service.match(x.r.Method, path)
+	x.service, x.route = found.service, found.route
+	x.maxBody = routes.limits.bodyLimit(x.route)
 	x.call = wire.Call{
 		Meta: wire.Meta{
 			RequestID:  x.requestID,
-			Service:    service.name,
+			Service:    found.service.name,
+			Caller:     x.handler.options.Service,
 			Class:      x.route.class,
 			Idempotent: x.route.isIdempotent(x.r.Method),
 		},
 		Method:    x.r.Method,
-		URI:       uri,
+		URI:       found.uri,
 		Host:      x.r.Host,
 		Header:    x.r.Header,
 		BodyBytes: x.r.ContentLength,
 	}
-	if err := x.check(path, routes.maxDepth); err != nil {
+	if err := x.check(found.path, routes); err != nil {
 		return failure(err)
 	}
 	x.cleanHeader()
@@ -81,7 +82,7 @@
 }
 
 func (x *exchange) takeRequestID() {
-	x.requestID = first(x.r.Header[wire.HeaderRequestID])
+	x.requestID = first(x.r.Header[x.handler.options.Headers.RequestID])
 	if !wire.ValidRequestID(x.requestID) {
 		x.requestID = x.handler.ids.Request()
 	}
@@ -95,9 +96,9 @@
 }
 
 // check judges the header of the request.
-func (x *exchange) check(path string, maxDepth int) error {
-	if size := headerSize(x.r); size > maxHeader {
-		return errkind.New(pb.ErrorKind_ERROR_KIND_HEADERS_TOO_LARGE, "the header has %d bytes, at most %d", size, maxHeader)
+func (x *exchange) check(path string, routes *Routes) error {
+	if size := headerSize(x.r); size > routes.limits.headerBytes {
+		return errkind.New(pb.ErrorKind_ERROR_KIND_HEADERS_TOO_LARGE, "the header has %d bytes, at most %d", size, routes.limits.headerBytes)
 	}
 	if err := wire.CheckFraming(x.r); err != nil {
 		return err
@@ -108,11 +109,11 @@
 	if hasDotSegment(path) {
 		return errkind.New(pb.ErrorKind_ERROR_KIND_BAD_REQUEST, "the path has dot segments")
 	}
-	if err := x.checkDepth(maxDepth); err != nil {
+	if err := x.checkDepth(routes.maxDepth); err != nil {
 		return err
 	}
-	if x.r.ContentLength > x.route.maxBody {
-		return errkind.New(pb.ErrorKind_ERROR_KIND_BODY_TOO_LARGE, "the body has %d bytes, at most %d", x.r.ContentLength, x.route.maxBody)
+	if x.r.ContentLength > x.maxBody {
+		return errkind.New(pb.ErrorKind_ERROR_KIND_BODY_TOO_LARGE, "the body has %d bytes, at most %d", x.r.ContentLength, x.maxBody)
 	}
 	if err := x.checkKey(); err != nil {
 		return err
@@ -144,13 +145,14 @@
 }
 
 func (x *exchange) checkDepth(maxDepth int) error {
-	text := first(x.r.Header[wire.HeaderDepth])
+	name := x.handler.options.Headers.Depth
+	text := first(x.r.Header[name])
 	if text == "" {
 		return nil
 	}
 	depth, err := strconv.ParseUint(text, 10, 16)
 	if err != nil {
-		return errkind.New(pb.ErrorKind_ERROR_KIND_BAD_REQUEST, "%s %q is no depth", wire.HeaderDepth, text)
+		return errkind.New(pb.ErrorKind_ERROR_KIND_BAD_REQUEST, "%s %q is no depth", name, text)
 	}
 	x.call.Depth = int(depth)
 	if x.call.Depth >= maxDepth {
@@ -174,7 +176,7 @@
 
 func (x *exchange) takeDeadline() error {
 	timeout := x.route.deadline
-	if values := x.r.Header[wire.HeaderTimeout]; len(values) > 0 {
+	if values := x.r.Header[x.handler.options.Headers.Timeout]; len(values) > 0 {
 		var err error
 		timeout, err = wire.ParseTimeout(values[0])
 		if err != nil {
@@ -183,7 +185,14 @@
 	} else if x.streams() {
 		timeout += x.uploadTime()
 	}
+	if x.route.timeout > 0 {
+		timeout = min(timeout, x.route.timeout)
+	}
 	x.call.Deadline = x.begun.Add(timeout)
+	x.call.Target = x.call.Deadline
+	if x.route.target > 0 {
+		x.call.Target = x.begun.Add(min(timeout, x.route.target))
+	}
 	return nil
 }
 
@@ -196,7 +205,7 @@
 func (x *exchange) uploadTime() time.Duration {
 	bytes := x.r.ContentLength
 	if bytes < 0 {
-		bytes = x.route.maxBody
+		bytes = x.maxBody
 	}
 	return time.Duration(bytes/minUploadRate) * time.Second
 }
@@ -206,6 +215,7 @@
 	header := x.r.Header
 	wire.StripHopByHop(header)
 	wire.StripInternal(header)
+	x.handler.options.Headers.Strip(header)
 	delete(header, "Content-Length")
 	caller, _, err := net.SplitHostPort(x.r.RemoteAddr)
 	if err != nil {
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -21,7 +21,19 @@
 type Routes struct {
 	services map[string]*service
 	hosts    map[string]*service
+	// byPrefix holds the request routes of each host, longest prefix first.
+	byPrefix map[string][]*requestRoute
 	maxDepth int
+	limits   callerLimits
+}
+
+// match is what a request was matched to.
+type match struct {
+	service *service
+	route   *route
+	// uri is what the backend server is asked for, path its path.
+	uri  string
+	path string
 }
 
 // service is one service of a snapshot.
@@ -47,9 +59,16 @@
 	// idempotent: nil follows the method.
 	idempotent *bool
 	class      pb.Class
-	deadline   time.Duration
-	maxBody    int64
-	requireKey bool
+	// deadline is that of a caller that names none.
+	deadline time.Duration
+	// timeout bounds the wait of any caller; zero: none.
+	timeout time.Duration
+	// target is the time within which an answer is worth most; zero: none.
+	target time.Duration
+	// maxAttempts bounds the attempts; zero: as the service's policy says.
+	maxAttempts int
+	maxBody     int64
+	requireKey  bool
 }
 
 // NewRoutes builds the snapshot of a configuration under the named preset.
@@ -70,6 +89,8 @@
 			routes.hosts[strings.ToLower(host)] = s
 		}
 	}
+	routes.addRequestRoutes(config)
+	routes.limits = newCallerLimits(config.GetCallerLimits())
 	return routes
 }
 
@@ -167,22 +188,32 @@
 // servicePrefix begins a path that names its service.
 const servicePrefix = "/svc/"
 
-// find returns the service that a request names and the request's URI and
-// path within it.
-func (routes *Routes) find(r *http.Request) (s *service, uri, path string) {
-	uri, path = r.RequestURI, r.URL.Path
-	if !strings.HasPrefix(uri, "/") && uri != "*" {
-		uri = r.URL.RequestURI() // absolute form
-	}
-	rest, ok := strings.CutPrefix(uri, servicePrefix)
-	if !ok {
-		return routes.hosts[hostName(r.Host)], uri, path
-	}
-	name, _, _ := strings.Cut(rest, "?")
-	name, _, _ = strings.Cut(name, "/")
-	uri = rootedAt(rest[len(name):])
-	path = rootedAt(strings.TrimPrefix(path, servicePrefix+name))
-	return routes.services[name], uri, path
+// find returns what a request names, or false.
+func (routes *Routes) find(r *http.Request) (match, bool) {
+	m := match{uri: r.RequestURI, path: r.URL.Path}
+	if !strings.HasPrefix(m.uri, "/") && m.uri != "*" {
+		m.uri = r.URL.RequestURI() // absolute form
+	}
+	host := hostName(r.Host)
+	if found := routes.findRequestRoute(host, m.path); found != nil {
+		m.service, m.route = found.choose(), &found.route
+		return m, true
+	}
+	rest, ok := strings.CutPrefix(m.uri, servicePrefix)
+	if ok {
+		name, _, _ := strings.Cut(rest, "?")
+		name, _, _ = strings.Cut(name, "/")
+		m.uri = rootedAt(rest[len(name):])
+		m.path = rootedAt(strings.TrimPrefix(m.path, servicePrefix+name))
+		m.service = routes.services[name]
+	} else {
+		m.service = routes.hosts[host]
+	}
+	if m.service == nil {
+		return m, false
+	}
+	m.route = m.service.match(r.Method, m.path)
+	return m, true
 }
 
 func rootedAt(rest string) string {
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -99,9 +99,20 @@
 		return false
 	}
 	g.reportCrash(server)
+	g.noteDown(server)
 	return true
 }
 
+// noteDown tells the node that the backend server is dead, once for each
+// announcement.
+func (g *Gate) noteDown(server *guarded) {
+	if g.options.Down == nil || server.down.Swap(true) {
+		return
+	}
+	g.log.Warn("backend server doesn't accept connections", zap.String("server", server.ID), zap.String("address", server.Address))
+	go g.options.Down()
+}
+
 // isDead reports whether the server refuses new connections or has closed all
 // of the old ones.
 func (g *Gate) isDead(ctx context.Context, server *guarded) bool {
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/egretfield/egretfield/internal/errkind"
@@ -69,6 +70,10 @@
 		return r.failed(ctx, err)
 	}
 	answer.ServerTime = time.Since(r.begun)
+	r.gate.noteLoad(answer.Load)
+	if answer.NotExecuted || answer.Misdirected {
+		return r.notExecuted(answer)
+	}
 	if answer.Body == nil {
 		r.keepHead(answer)
 		r.finish(answer.Status >= http.StatusInternalServerError)
@@ -79,6 +84,19 @@
 	return answer
 }
 
+// notExecuted ends a run whose backend server says that it didn't run the request.
+func (r *run) notExecuted(answer *wire.Answer) *wire.Answer {
+	if answer.Body != nil {
+		_ = answer.Body.Close() // only the header counts
+	}
+	r.end(pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil, false)
+	if answer.Misdirected {
+		return wire.Fail(pb.ErrorKind_ERROR_KIND_NOT_READY, "another backend server has the address")
+	}
+	r.gate.counts.shed.Add(1)
+	return wire.Fail(pb.ErrorKind_ERROR_KIND_OVERLOADED, "the backend server didn't run the request")
+}
+
 func (r *run) send(ctx context.Context, fresh bool) (*wire.Answer, error) {
 	return r.server.client.Do(ctx, wire.Sending{
 		Addr:  r.server.Address,
@@ -125,6 +143,9 @@
 	case !sendErr.Sent && ctx.Err() != nil:
 		return pb.ErrorKind_ERROR_KIND_CANCELLED, false
 	case !sendErr.Sent:
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.gate.noteDown(r.server)
+		}
 		return pb.ErrorKind_ERROR_KIND_NOT_READY, false
 	case ctx.Err() != nil:
 		return pb.ErrorKind_ERROR_KIND_CANCELLED, false
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -20,6 +20,8 @@
 // Server is the backend server that a gate guards. It is immutable.
 type Server struct {
 	Service string
+	// ID is the identity of this start of the backend server; may be empty.
+	ID string
 	// Address of the backend server, host:port.
 	Address string
 	// Slots is the number of requests it runs at once.
@@ -40,6 +42,9 @@
 	Log *zap.Logger
 	// PeerToken is what requests must show; empty: nothing.
 	PeerToken string
+	// Down is called when the backend server was found dead; may be nil. It must
+	// not call the gate in its own goroutine.
+	Down func()
 	// Client overrides limits of the connections to the backend server.
 	Client wire.ClientOptions
 	// MaxAttempts bounds the attempts remembered; 0: DefaultMaxAttempts.
@@ -53,6 +58,8 @@
 	Server
 	client *wire.Client
 	crash  crashWatch
+	// down: the server was found dead.
+	down atomic.Bool
 }
 
 // Gate guards one backend server. Safe for concurrent use.
@@ -64,6 +71,8 @@
 	server   atomic.Pointer[guarded]
 	draining atomic.Bool
 	counts   counts
+	// slowness is what the backend server last said of its machine, percent.
+	slowness atomic.Uint32
 	// minSilence is the least silence of the server that breaks a connection.
 	minSilence time.Duration
 }
@@ -100,6 +109,7 @@
 	} else {
 		options := g.options.Client
 		options.MaxConns = server.Connections
+		options.Target = server.ID
 		g.server.Store(&guarded{Server: *server, client: wire.NewClient(options)})
 		g.limiter.configure(effectiveSlots(server))
 	}
@@ -151,9 +161,17 @@
 func (g *Gate) Report() *pb.LoadReport {
 	report := &pb.LoadReport{Instance: g.options.Instance, Incarnation: g.options.Incarnation}
 	g.limiter.fill(report)
+	report.SlownessPercent = g.slowness.Load()
 	return report
 }
 
+// noteLoad takes what the backend server says of itself; nil: nothing.
+func (g *Gate) noteLoad(load *pb.LoadReport) {
+	if load != nil {
+		g.slowness.Store(load.GetSlownessPercent())
+	}
+}
+
 // ready returns the guarded server, or the refusal of a call that can't run.
 func (g *Gate) ready(call *wire.Call) (*guarded, *wire.Answer) {
 	server := g.server.Load()
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -18,6 +18,7 @@
 	answers [64]atomic.Int64
 	crashes atomic.Int64
 	silent  atomic.Int64
+	shed    atomic.Int64
 }
 
 func (c *counts) answer(kind errkind.Kind) {
--- a/internal/member/health.go
+++ b/internal/member/health.go
@@ -143,6 +143,13 @@
 	}
 }
 
+// Joined returns whether the view was complete once.
+func (l *List) Joined() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.joined
+}
+
 // Health returns whether the view may be trusted now, and why not.
 func (l *List) Health() Health {
 	now := time.Now()
--- a/internal/member/joinlog.go
+++ b/internal/member/joinlog.go
@@ -114,6 +114,9 @@
 func (f *logFollower) readAll() error {
 	ctx, cancel := context.WithTimeout(f.l.ctx, logTimeout)
 	defer cancel()
+	if keyed, ok := f.l.opts.Log.(platformlog.Keyed); ok {
+		return f.readNewest(ctx, keyed)
+	}
 	if f.next == 0 {
 		if err := f.seek(ctx); err != nil {
 			return err
@@ -140,6 +143,15 @@
 	}
 }
 
+// readNewest takes the newest record of every instance.
+func (f *logFollower) readNewest(ctx context.Context, log platformlog.Keyed) error {
+	records, _, err := log.Newest(ctx, platformlog.MemberStream)
+	for _, record := range records {
+		f.take(record)
+	}
+	return err
+}
+
 // seek moves to the oldest record worth reading.
 func (f *logFollower) seek(ctx context.Context) error {
 	bounds, err := f.l.opts.Log.Bounds(ctx, platformlog.MemberStream)
--- a/internal/member/own.go
+++ b/internal/member/own.go
@@ -27,6 +27,8 @@
 		m.Service = a.GetService()
 		m.Slots = a.GetSlots()
 		m.Connections = a.GetConnections()
+		m.ServerId = a.GetServerId()
+		m.WarmupMs = a.GetWarmupLeftMs()
 	})
 }
 
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -18,9 +18,14 @@
 	"github.com/egretfield/egretfield/internal/peer"
 	"github.com/egretfield/egretfield/internal/platformlog/httplog"
 	"github.com/egretfield/egretfield/internal/quarantine"
+	"github.com/egretfield/egretfield/internal/settings"
 	"github.com/egretfield/egretfield/internal/wire"
 )
 
+// platformReadWait is how long a read of the configuration waits on a platform's
+// store, where each call has a price. The store's own bound is 30 s.
+const platformReadWait = 25 * time.Second
+
 // keeperSnapshots is how many snapshots of the keeper stream are written within
 // the log's retention.
 const keeperSnapshots = 8
@@ -39,13 +44,42 @@
 		return err
 	}
 	n.limiter = budget.New(budget.LimitsOf(nil))
-	n.log, err = httplog.New(httplog.Options{
+	return n.makeLog(options)
+}
+
+// makeLog makes the client of the platform's log.
+func (n *Node) makeLog(options Options) error {
+	if n.platform != nil {
+		n.log, n.closeLog = n.platform.Log(), n.platform.Close
+		return nil
+	}
+	client, err := httplog.New(httplog.Options{
 		BaseURL:    n.settings.GetLogUrl(),
 		Client:     n.settings.GetInstance(),
 		DataCentre: n.settings.GetDataCentre(),
 		Meter:      options.Metrics.Meter(),
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	n.log, n.closeLog = client, client.Close
+	return nil
+}
+
+// configurationWait is how long a read of the configuration waits for a change.
+func (n *Node) configurationWait() time.Duration {
+	if n.platform != nil {
+		return platformReadWait
+	}
+	return 0
+}
+
+// headers are the names that callers and backend servers use; nil: the defaults.
+func (n *Node) headers() *wire.Headers {
+	if n.platform != nil {
+		return n.platform.Headers()
+	}
+	return nil
 }
 
 // makeMembers makes the membership.
@@ -77,9 +111,13 @@
 		Peers:     n.client,
 		Addresses: n.peerAddresses,
 		Direct:    n.readsConfiguration,
+		ReadWait:  n.configurationWait(),
 		Logger:    n.logger.Named("config"),
 		Meter:     options.Metrics.Meter(),
 	})
+	if n.platform != nil {
+		return nil // the store keeps the newest configuration for good
+	}
 	retention := time.Duration(n.settings.GetLogRetentionS()) * time.Second
 	n.snapshot = configlog.NewSnapshotter(n.settings.GetInstance(), n.log, n.follower, retention)
 	return nil
@@ -87,6 +125,9 @@
 
 // makeKeeper makes the keeper of idempotency keys.
 func (n *Node) makeKeeper(options Options) error {
+	if n.settings.GetWithoutKeys() {
+		return nil
+	}
 	var err error
 	n.keeper, err = once.NewManager(once.Options{
 		Log:           n.log,
@@ -118,20 +159,27 @@
 		Meter:       meter,
 		Log:         n.logger.Named("gate"),
 		PeerToken:   token,
+		Down:        n.serverDown,
+		Client:      wire.ClientOptions{Headers: n.headers()},
 	})
-	n.entry = entry.New(entry.Options{
+	entryOptions := entry.Options{
+		Service:     n.settings.GetPlatform().GetService(),
+		Headers:     n.headers(),
 		Instance:    n.settings.GetInstance(),
 		Region:      n.settings.GetRegion(),
 		Local:       n.gate,
 		BalancerFor: n.services.balancer,
 		Peer:        n.client,
-		Guard:       n.keeper,
 		Quarantine:  n.suspects,
 		Meter:       meter,
 		Log:         n.logger.Named("entry"),
 		Client:      wire.ClientOptions{PeerToken: token},
-	})
-	n.drain = newDrainer(n.members, n.gate, n.logger.Named("drain"))
+	}
+	if n.keeper != nil {
+		entryOptions.Guard = n.keeper
+	}
+	n.entry = entry.New(entryOptions)
+	n.drain = newDrainer(n.members, n.gate, settings.Duration(n.settings.GetDrainNotice()), n.logger.Named("drain"))
 	n.receiver = announce.NewReceiver(n.announced)
 	return nil
 }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -18,6 +19,9 @@
 	members *member.List
 	gate    *gate.Gate
 	logger  *zap.Logger
+	// notice is how long the gate still takes requests while the news reaches
+	// the other nodes.
+	notice  time.Duration
 	changed chan struct{}
 
 	mu       sync.Mutex
@@ -27,8 +31,8 @@
 }
 
 // newDrainer returns a drainer that wants no drain.
-func newDrainer(members *member.List, g *gate.Gate, logger *zap.Logger) *drainer {
-	return &drainer{members: members, gate: g, logger: logger, changed: make(chan struct{}, 1)}
+func newDrainer(members *member.List, g *gate.Gate, notice time.Duration, logger *zap.Logger) *drainer {
+	return &drainer{members: members, gate: g, notice: notice, logger: logger, changed: make(chan struct{}, 1)}
 }
 
 // setOperator notes whether operators want this instance drained.
@@ -58,6 +62,13 @@
 	}
 }
 
+// isStopping says whether the node is stopping.
+func (d *drainer) isStopping() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopping
+}
+
 // wanted says whether there is any reason to drain.
 func (d *drainer) wanted() bool {
 	d.mu.Lock()
@@ -77,7 +88,7 @@
 			return
 		case <-d.changed:
 		}
-		if d.wanted() && !delay.Sleep(ctx, drainSpread) {
+		if d.wanted() && !delay.Sleep(ctx, d.notice) {
 			return
 		}
 		d.gate.SetDraining(d.wanted())
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/egretfield/egretfield/internal/delay"
+	"github.com/egretfield/egretfield/internal/settings"
 )
 
 // serversTimeout bounds the end of the HTTP servers at a stop.
@@ -19,11 +20,12 @@
 // to their end, the keys to their next keepers, then the news that it is gone.
 func (n *Node) leave() {
 	n.logger.Info("leaving")
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	timeout := settings.Duration(n.settings.GetStopTimeout())
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	n.drain.stop()
-	n.callerHTTP.SetKeepAlivesEnabled(false)
-	delay.Sleep(ctx, drainSpread)
+	n.entry.SetStopping()
+	delay.Sleep(ctx, settings.Duration(n.settings.GetDrainNotice()))
 	n.gate.SetDraining(true)
 	if err := n.callerHTTP.Shutdown(ctx); err != nil {
 		n.logger.Warn("callers' requests still running", zap.Error(err))
@@ -50,6 +52,9 @@
 
 // handOver gives this node's keys to their next keepers.
 func (n *Node) handOver() {
+	if n.keeper == nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
 	if err := n.keeper.Leave(ctx); err != nil {
@@ -74,5 +79,5 @@
 		n.logger.Warn("control client", zap.Error(err))
 	}
 	n.entry.Close()
-	n.log.Close()
+	n.closeLog()
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -53,6 +53,9 @@
 
 // observeKeeper shows the keys that this node keeps.
 func (n *Node) observeKeeper(meter metric.Meter) error {
+	if n.keeper == nil {
+		return nil
+	}
 	keys, err := meter.Int64ObservableGauge("egretfield.keys.held", metric.WithDescription("Idempotency keys in memory."))
 	if err != nil {
 		return eris.Wrap(err, "metrics")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,18 +24,13 @@
 	"github.com/egretfield/egretfield/internal/once"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/peer"
-	"github.com/egretfield/egretfield/internal/platformlog/httplog"
+	"github.com/egretfield/egretfield/internal/platformlog"
 	"github.com/egretfield/egretfield/internal/quarantine"
 	"github.com/egretfield/egretfield/internal/telemetry"
 	"github.com/egretfield/egretfield/internal/wire"
 )
 
 const (
-	// drainSpread is how long a draining gate still takes requests while the
-	// news reaches the other nodes.
-	drainSpread = 3 * time.Second
-	// drainTimeout bounds the wait for requests in flight at a stop.
-	drainTimeout = 60 * time.Second
 	// handoverTimeout bounds the handover of keys at a stop.
 	handoverTimeout = 10 * time.Second
 	// readHeaderTimeout bounds the arrival of a request's headers.
@@ -52,6 +47,24 @@
 	Logger   *zap.Logger
 	Level    zap.AtomicLevel
 	Metrics  *telemetry.Metrics
+	// Platform is the adapter of the platform that the node runs on; nil: the
+	// node uses the interfaces of egretfield's own.
+	Platform Platform
+}
+
+// Platform translates between egretfield and the platform that it runs on. It
+// decides nothing.
+type Platform interface {
+	// Log reaches the platform's store.
+	Log() platformlog.Log
+	// Headers are the names that callers and backend servers use.
+	Headers() *wire.Headers
+	// AnnounceHandler serves the heartbeats of the backend server beside the node.
+	AnnounceHandler(receiver *announce.Receiver, logger *zap.Logger) http.Handler
+	// ReadyHandler serves the platform's question whether the node takes callers.
+	ReadyHandler(ready func() bool) http.Handler
+	// Close ends the connections to the store.
+	Close()
 }
 
 // Node is one running egretnode.
@@ -60,8 +73,11 @@
 	logger   *zap.Logger
 	started  time.Time
 	sockets  *sockets
+	level    zap.AtomicLevel
 
-	log      *httplog.Client
+	log      platformlog.Log
+	closeLog func()
+	platform Platform
 	client   *peer.Caller
 	control  *peer.Server
 	limiter  *budget.Limiter
@@ -77,6 +93,8 @@
 	drain    *drainer
 
 	callerHTTP, gateHTTP, opsHTTP, announceHTTP *http.Server
+	// readyHTTP is nil without a platform.
+	readyHTTP *http.Server
 
 	rebuild sync.Mutex
 	// stale says whether the balancers lack the last configuration.
@@ -85,7 +103,7 @@
 
 // New opens the node's sockets and makes its parts. Run starts them.
 func New(options Options) (*Node, error) {
-	n := &Node{settings: options.Settings, started: time.Now()}
+	n := &Node{settings: options.Settings, started: time.Now(), platform: options.Platform, level: options.Level}
 	n.logger = telemetry.WithPosition(options.Logger, telemetry.Position{
 		ConfigOffset: n.configOffset,
 		Incarnation:  n.incarnation,
@@ -138,6 +156,7 @@
 	}
 	n.gate.SetServer(&gate.Server{
 		Service:     server.GetService(),
+		ID:          server.GetServerId(),
 		Address:     server.GetAddress(),
 		Slots:       int(server.GetSlots()),
 		Connections: int(server.GetConnections()),
@@ -146,6 +165,12 @@
 	n.limitQueue(n.follower.Current(), server.GetService())
 }
 
+// serverDown takes the backend server out of the choice of every node once it was
+// found dead. Its next announcement brings it back.
+func (n *Node) serverDown() {
+	n.receiver.Forget()
+}
+
 // limitQueue applies the policy of the backend server's service to the gate.
 func (n *Node) limitQueue(state *pb.ConfigState, service string) {
 	if state != nil {
@@ -231,8 +256,12 @@
 	changed, _ := n.members.Watch()
 	n.follower.Subscribe(n.apply)
 	group.Go(func() error { return n.follower.Run(ctx) })
-	group.Go(func() error { return n.snapshot.Run(ctx) })
-	group.Go(func() error { n.keeper.Run(ctx); return nil })
+	if n.snapshot != nil {
+		group.Go(func() error { return n.snapshot.Run(ctx) })
+	}
+	if n.keeper != nil {
+		group.Go(func() error { n.keeper.Run(ctx); return nil })
+	}
 	group.Go(func() error { n.receiver.Run(ctx); return nil })
 	group.Go(func() error { n.drain.run(ctx); return nil })
 	group.Go(func() error {
@@ -263,10 +292,14 @@
 
 // httpServers pairs each HTTP server with its socket.
 func (n *Node) httpServers() map[*http.Server]net.Listener {
-	return map[*http.Server]net.Listener{
+	servers := map[*http.Server]net.Listener{
 		n.callerHTTP:   wire.Listen(n.sockets.callerTLS),
 		n.gateHTTP:     n.sockets.gate,
 		n.opsHTTP:      n.sockets.ops,
 		n.announceHTTP: n.sockets.announce,
 	}
+	if n.readyHTTP != nil {
+		servers[n.readyHTTP] = n.sockets.ready
+	}
+	return servers
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -26,8 +26,10 @@
 	if err := n.members.Register(n.control); err != nil {
 		return err
 	}
-	if err := n.keeper.Register(n.control); err != nil {
-		return err
+	if n.keeper != nil {
+		if err := n.keeper.Register(n.control); err != nil {
+			return err
+		}
 	}
 	receivers := map[string]any{
 		configlog.ServiceName: configlog.NewRPC(n.follower, configlog.NewPublisher(n.log, n.follower)),
@@ -71,11 +73,22 @@
 	for _, server := range []*http.Server{n.callerHTTP, n.gateHTTP} {
 		server.ErrorLog = quietLog(n.logger)
 	}
-	n.announceHTTP = newHTTPServer(n.receiver.Handler(), n.logger.Named("announce"))
+	n.announceHTTP = newHTTPServer(n.announceHandler(), n.logger.Named("announce"))
+	if n.platform != nil {
+		n.readyHTTP = newHTTPServer(n.platform.ReadyHandler(n.takesCallers), n.logger.Named("ready"))
+	}
 	n.opsHTTP = newHTTPServer(n.opsHandler(options), n.logger.Named("ops"))
 	return nil
 }
 
+// announceHandler serves the announcements of the backend server.
+func (n *Node) announceHandler() http.Handler {
+	if n.platform != nil {
+		return n.platform.AnnounceHandler(n.receiver, n.logger.Named("announce"))
+	}
+	return n.receiver.Handler()
+}
+
 // newHTTPServer returns a server with the limits on what arrives.
 func newHTTPServer(handler http.Handler, logger *zap.Logger) *http.Server {
 	return &http.Server{
@@ -97,7 +110,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", n.serveReady)
-	mux.Handle("GET /metrics", options.Metrics.Handler())
+	mux.Handle("GET "+n.settings.GetMetricsPath(), options.Metrics.Handler())
 	mux.Handle("/log-level", options.Level)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -16,6 +16,8 @@
 // sockets are the listeners of a node.
 type sockets struct {
 	caller, gate, control, announce, ops net.Listener
+	// ready is nil without a platform.
+	ready net.Listener
 	// callerTLS is caller, with TLS when the settings name certificates.
 	callerTLS net.Listener
 }
@@ -23,17 +25,22 @@
 // openSockets listens on every address of the settings.
 func openSockets(settings *pb.NodeSettings) (*sockets, error) {
 	s := &sockets{}
-	for _, one := range []struct {
+	type socket struct {
 		name    string
 		address string
 		into    *net.Listener
-	}{
+	}
+	wanted := []socket{
 		{"caller_address", settings.GetCallerAddress(), &s.caller},
 		{"gate_address", settings.GetGateAddress(), &s.gate},
 		{"control_address", settings.GetControlAddress(), &s.control},
 		{"announce_address", settings.GetAnnounceAddress(), &s.announce},
 		{"ops_address", settings.GetOpsAddress(), &s.ops},
-	} {
+	}
+	if platform := settings.GetPlatform(); platform != nil {
+		wanted = append(wanted, socket{"platform.ready_address", platform.GetReadyAddress(), &s.ready})
+	}
+	for _, one := range wanted {
 		listener, err := net.Listen("tcp", one.address)
 		if err != nil {
 			s.close()
@@ -62,7 +69,7 @@
 
 // close closes the sockets that are open.
 func (s *sockets) close() {
-	for _, listener := range []net.Listener{s.caller, s.gate, s.control, s.announce, s.ops} {
+	for _, listener := range []net.Listener{s.caller, s.gate, s.control, s.announce, s.ops, s.ready} {
 		if listener != nil {
 			listener.Close()
 		}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -34,7 +34,7 @@
 	if health := n.members.Health(); !health.Ready {
 		refuse("members", pb.ErrorKind_ERROR_KIND_NOT_READY, health.Reason)
 	}
-	if !n.keeper.Status().Known {
+	if n.keeper != nil && !n.keeper.Status().Known {
 		refuse("keeper", pb.ErrorKind_ERROR_KIND_NOT_READY, "the stream of key leases has not been read yet")
 	}
 	if n.drain.wanted() {
@@ -44,6 +44,13 @@
 	return state
 }
 
+// takesCallers says whether callers should be sent to this node: it has a
+// configuration, has met the fleet once and isn't stopping. A backend server that
+// leaves and a node that lost touch don't matter; the entry still has others.
+func (n *Node) takesCallers() bool {
+	return n.follower.Current() != nil && n.members.Joined() && !n.drain.isStopping()
+}
+
 // status is the node's side of egretctl status and explain.
 type status struct {
 	node *Node
@@ -191,6 +198,9 @@
 // key explains a key: in the service named, or in the first configured one whose
 // keeper has seen it.
 func (s *status) key(request *pb.ExplainRequest) *pb.KeyFacts {
+	if s.node.keeper == nil {
+		return nil
+	}
 	if request.GetService() != "" {
 		return s.node.keeper.Explain(once.Key{Service: request.GetService(), Value: request.GetKey()})
 	}
--- a/internal/platformlog/log.go
+++ b/internal/platformlog/log.go
@@ -47,6 +47,15 @@
 	Next int64 `json:"next"`
 }
 
+// Keyed is a Log whose records have keys and that keeps the newest record of each
+// key for good.
+type Keyed interface {
+	Log
+	// Newest returns the newest record of each key of the stream in order of
+	// offset, and the stream's limits. Records appended meanwhile may be missing.
+	Newest(ctx context.Context, stream string) ([]Record, Bounds, error)
+}
+
 // Log is the platform's log. Implementations are safe for concurrent use.
 type Log interface {
 	// Append adds a record and returns its offset. The error is
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/netip"
@@ -9,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/egretfield/egretfield/internal/pb"
 )
@@ -56,8 +58,18 @@
 	c.advertisedAddress("gate_advertise_address", settings.GetGateAdvertiseAddress())
 	c.listenAddress("control_address", settings.GetControlAddress())
 	c.listenAddress("ops_address", settings.GetOpsAddress())
-	c.loopbackAddress("announce_address", settings.GetAnnounceAddress())
-	c.logURL(settings.GetLogUrl())
+	if settings.GetPlatform() != nil {
+		c.listenAddress("announce_address", settings.GetAnnounceAddress())
+		c.platform(settings.GetPlatform())
+	} else {
+		c.loopbackAddress("announce_address", settings.GetAnnounceAddress())
+		c.logURL(settings.GetLogUrl())
+	}
+	c.duration("drain_notice", settings.GetDrainNotice())
+	c.duration("stop_timeout", settings.GetStopTimeout())
+	if !strings.HasPrefix(settings.GetMetricsPath(), "/") {
+		c.addf("metrics_path", "got %q, expected a path that starts with /", settings.GetMetricsPath())
+	}
 	c.seeds(settings.GetSeeds())
 	if len(settings.GetSharedKey()) < minSharedKeyBytes {
 		c.addf("shared_key", "got %d bytes, expected at least %d", len(settings.GetSharedKey()), minSharedKeyBytes)
@@ -73,6 +85,31 @@
 	return c.problems
 }
 
+// platform checks the settings of a platform that is reached by an adapter.
+func (c *checker) platform(settings *pb.PlatformSettings) {
+	c.advertisedAddress("platform.store_address", cmp.Or(settings.GetStoreAddress(), missing))
+	c.listenAddress("platform.ready_address", settings.GetReadyAddress())
+	c.advertisedAddress("platform.server_address", cmp.Or(settings.GetServerAddress(), missing))
+	if settings.GetService() == "" {
+		c.addf("platform.service", "expected the service of the backend server beside the node")
+	}
+	c.duration("platform.heartbeat", settings.GetHeartbeat())
+	c.duration("platform.retry_window", settings.GetRetryWindow())
+	if ratio := settings.GetRetryRatio(); ratio < 0 || ratio > 1 {
+		c.addf("platform.retry_ratio", "got %g, expected 0 to 1", ratio)
+	}
+}
+
+// missing stands for a required address that was left out.
+const missing = "missing"
+
+// duration accepts a positive Go duration.
+func (c *checker) duration(path, value string) {
+	if parsed, err := time.ParseDuration(value); err != nil || parsed <= 0 {
+		c.addf(path, "got %q, expected a duration, for example 2500ms", value)
+	}
+}
+
 func (c *checker) name(path, value string) {
 	if !namePattern.MatchString(value) {
 		c.addf(path, "got %q, expected a name of letters, digits, dots, - and _", value)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"os"
 	"strings"
+	"time"
 
 	"github.com/egretfield/egretfield/internal/defaults"
 	"github.com/egretfield/egretfield/internal/errkind"
@@ -24,6 +25,9 @@
 	DefaultMemoryLimitMiB = 256
 	DefaultLogRetentionS  = 7200 // seconds
 	DefaultMaxProcs       = 2
+	DefaultDrainNotice    = "3s"
+	DefaultStopTimeout    = "60s"
+	DefaultMetricsPath    = "/metrics"
 )
 
 // Load reads the file at path. Errors have kind not found or invalid config.
@@ -53,6 +57,15 @@
 	return settings, nil
 }
 
+// Duration returns a duration setting that was checked; zero when it is empty.
+func Duration(value string) time.Duration {
+	parsed, err := time.ParseDuration(value)
+	if err != nil {
+		return 0 // an empty optional setting; Parse refuses any other
+	}
+	return parsed
+}
+
 // fill sets every setting that has a default and was left out.
 func fill(settings *pb.NodeSettings) {
 	for _, address := range []*string{
@@ -70,4 +83,7 @@
 	defaults.Set(&settings.MemoryLimitMib, DefaultMemoryLimitMiB)
 	defaults.Set(&settings.LogRetentionS, DefaultLogRetentionS)
 	defaults.Set(&settings.MaxProcs, DefaultMaxProcs)
+	defaults.Set(&settings.DrainNotice, DefaultDrainNotice)
+	defaults.Set(&settings.StopTimeout, DefaultStopTimeout)
+	defaults.Set(&settings.MetricsPath, DefaultMetricsPath)
 }
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -25,6 +25,10 @@
 	Deadline time.Time
 	// Fingerprint identifies equal requests.
 	Fingerprint uint64
+	// Target is when the answer should be there to be worth most.
+	Target time.Time
+	// Caller is the service beside the node that took the request.
+	Caller string
 }
 
 // Call is one attempt of a request. It isn't changed by those it passes.
@@ -55,8 +59,14 @@
 	Kind errkind.Kind
 	// Message explains Kind.
 	Message string
+	// RetryAfter is the wait suggested to the caller; zero: that of Kind.
+	RetryAfter time.Duration
 	// Crashed: the backend server died while it ran the request.
 	Crashed bool
+	// NotExecuted: the backend server says that it didn't run the request.
+	NotExecuted bool
+	// Misdirected: another backend server has the address; nothing was run.
+	Misdirected bool
 	// Lost: the connection was lost, though the gate replies to control calls.
 	Lost bool
 
@@ -79,10 +89,10 @@
 	return &Answer{Kind: kind, Message: message}
 }
 
-const metaFields = 6
+const metaFields = 8
 
-// appendMeta writes the value of HeaderCall. The time left is in milliseconds.
-func appendMeta(buf []byte, m *Meta, left int64) []byte {
+// appendMeta writes the value of HeaderCall. The times left are in milliseconds.
+func appendMeta(buf []byte, m *Meta, left, untilTarget int64) []byte {
 	buf = append(buf, m.Service...)
 	buf = append(buf, ' ')
 	buf = strconv.AppendInt(buf, left, 10)
@@ -93,7 +103,11 @@
 	buf = append(buf, ' ')
 	buf = strconv.AppendInt(buf, int64(m.Depth), 10)
 	buf = append(buf, ' ')
-	return strconv.AppendUint(buf, m.Fingerprint, 16)
+	buf = strconv.AppendUint(buf, m.Fingerprint, 16)
+	buf = append(buf, ' ')
+	buf = strconv.AppendInt(buf, untilTarget, 10)
+	buf = append(buf, ' ')
+	return append(buf, m.Caller...)
 }
 
 // ParseMeta reads the headers that an entry sends to a gate.
@@ -126,7 +140,8 @@
 	idempotent, errIdempotent := strconv.ParseBool(fields[3])
 	depth, errDepth := strconv.ParseUint(fields[4], 10, 16)
 	fingerprint, errFingerprint := strconv.ParseUint(fields[5], 16, 64)
-	if errLeft != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
+	untilTarget, errTarget := strconv.ParseInt(fields[6], 10, 32)
+	if errTarget != nil || errLeft != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
 		return Meta{}, false
 	}
 	return Meta{
@@ -136,5 +151,7 @@
 		Idempotent:  idempotent,
 		Depth:       int(depth),
 		Fingerprint: fingerprint,
+		Target:      now.Add(time.Duration(untilTarget) * time.Millisecond),
+		Caller:      fields[7],
 	}, fields[0] != ""
 }
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -43,6 +43,12 @@
 	BetweenNodes bool
 	// PeerToken is shown to gates; see PeerToken. Empty: none.
 	PeerToken string
+	// Headers are those that the backend server uses; nil: DefaultHeaders. They
+	// aren't used between nodes.
+	Headers *Headers
+	// Target is the identity of the backend server that the requests are meant
+	// for; empty: any at the address.
+	Target string
 }
 
 // Client sends calls over pooled HTTP/1.1 connections. It never sends a call
@@ -68,6 +74,9 @@
 	defaults.Set(&options.MaxIdle, DefaultMaxIdle)
 	defaults.Set(&options.Silence, DefaultSilence)
 	defaults.Set(&options.ProgressLimit, DefaultProgressLimit)
+	if options.Headers == nil {
+		options.Headers = DefaultHeaders()
+	}
 	c := &Client{options: options, hosts: make(map[string]*host)}
 	c.swept.Store(time.Now().UnixNano())
 	return c
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -25,7 +25,7 @@
 			Depth: 3, Deadline: now.Add(1500 * time.Millisecond), Fingerprint: 1 << 63,
 		}
 		header := http.Header{
-			HeaderAttempt: {id.String()}, HeaderRequestID: {"r"}, HeaderCall: {string(appendMeta(nil, &meta, 1500))},
+			HeaderAttempt: {id.String()}, HeaderRequestID: {"r"}, HeaderCall: {string(appendMeta(nil, &meta, 1500, 400))},
 		}
 		parsed, err := ParseMeta(header, now)
 		So(err, ShouldBeNil)
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -39,6 +41,8 @@
 	// roundTrip is the time that opening the connection took.
 	roundTrip time.Duration
 	idle      time.Time
+	// idleLimit is how long the peer keeps the connection idle; zero: unknown.
+	idleLimit time.Duration
 	reused    bool
 	aborted   atomic.Bool
 	closed    atomic.Bool
@@ -88,6 +92,21 @@
 	_ = c.SetDeadline(past)
 }
 
+// keepAliveShare of the idle time that a peer announces is used, percent; the
+// rest covers the way there.
+const keepAliveShare = 75
+
+// noteKeepAlive takes the idle time that the peer announces.
+func (c *conn) noteKeepAlive(header http.Header) {
+	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		seconds, err := strconv.ParseUint(value, 10, 32)
+		if ok && err == nil {
+			c.idleLimit = time.Duration(seconds) * time.Second * keepAliveShare / 100
+		}
+	}
+}
+
 // close closes the connection once and frees its place at the host.
 func (c *conn) close() {
 	if c.closed.Swap(true) {
--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -32,6 +32,13 @@
 
 // WriteError answers with kind: its status, headers and a JSON body.
 func WriteError(w http.ResponseWriter, kind errkind.Kind, message, requestID string) {
+	Fail(kind, message).WriteError(w, HeaderRequestID, requestID)
+}
+
+// WriteError writes an answer of the system's own: status, headers and a JSON
+// body. The request's id goes into the header of that name.
+func (a *Answer) WriteError(w http.ResponseWriter, idHeader, requestID string) {
+	kind, message := a.Kind, a.Message
 	answer := errkind.Of(kind)
 	body, _ := json.Marshal(errorBody(answer, message, requestID)) // strings always marshal
 	header := w.Header()
@@ -40,9 +47,11 @@
 	header["Content-Type"] = []string{"application/json"}
 	header["Content-Length"] = []string{strconv.Itoa(len(body))}
 	if requestID != "" {
-		header[HeaderRequestID] = []string{requestID}
+		header[idHeader] = []string{requestID}
 	}
-	if answer.RetryAfter > 0 {
+	if a.RetryAfter > 0 {
+		header["Retry-After"] = []string{strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)}
+	} else if answer.RetryAfter > 0 {
 		seconds := (answer.RetryAfter + time.Second - 1) / time.Second
 		header["Retry-After"] = []string{strconv.Itoa(int(seconds))}
 	}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -110,24 +110,40 @@
 		}
 	}
 	buf = x.appendFraming(buf)
-	buf = appendField(buf, HeaderRequestID, call.RequestID)
 	left := max(NextTimeout(x.begun, call.Deadline, x.conn.roundTrip), 1)
 	if x.client.options.BetweenNodes {
 		x.attempt = call.Attempt.String()
+		buf = appendField(buf, HeaderRequestID, call.RequestID)
 		buf = appendField(buf, HeaderAttempt, x.attempt)
 		if token := x.client.options.PeerToken; token != "" {
 			buf = appendField(buf, HeaderPeer, token)
 		}
 		buf = append(buf, HeaderCall+": "...)
-		buf = appendMeta(buf, &call.Meta, left)
+		buf = appendMeta(buf, &call.Meta, left, call.Target.Sub(x.begun).Milliseconds())
 		buf = append(buf, "\r\n"...)
 	} else {
-		buf = appendNumber(buf, HeaderTimeout, left)
-		buf = appendNumber(buf, HeaderDepth, int64(call.Depth)+1)
+		buf = x.appendForServer(buf, left)
 	}
 	return append(buf, "\r\n"...)
 }
 
+// appendForServer writes the headers that a backend server understands.
+func (x *exchange) appendForServer(buf []byte, left int64) []byte {
+	call, names := x.sending.Call, x.client.options.Headers
+	buf = appendField(buf, names.RequestID, call.RequestID)
+	buf = appendNumber(buf, names.Timeout, left)
+	if names.Depth != "" {
+		buf = appendNumber(buf, names.Depth, int64(call.Depth)+1)
+	}
+	if names.Caller != "" {
+		buf = appendField(buf, names.Caller, call.Caller)
+	}
+	if names.Target != "" && x.client.options.Target != "" {
+		buf = appendField(buf, names.Target, x.client.options.Target)
+	}
+	return buf
+}
+
 func (x *exchange) appendFraming(buf []byte) []byte {
 	call := x.sending.Call
 	switch {
@@ -171,11 +187,15 @@
 		switch {
 		case resp.StatusCode == statusContinue:
 			x.startUpload()
+		case resp.StatusCode >= http.StatusOK && x.isForeign(resp):
+			if err := x.skip(resp); err != nil {
+				return nil, err
+			}
 		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
 	}
-	return nil, eris.Errorf("more than %d interim answers", maxInterim)
+	return nil, eris.Errorf("more than %d interim or foreign answers", maxInterim)
 }
 
 // awaitByte waits for the next byte of the answer. It checks the connection
@@ -246,6 +266,12 @@
 			return nil, err
 		}
 	}
+	if !x.client.options.BetweenNodes {
+		if err := x.checkServer(answer); err != nil {
+			return nil, err
+		}
+		x.conn.noteKeepAlive(resp.Header)
+	}
 	StripHopByHop(resp.Header)
 	StripInternal(resp.Header)
 	x.body = answerBody{x: x, body: resp.Body, keep: !resp.Close}
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -45,6 +45,45 @@
 	internalPrefix = "Egret-"
 )
 
+// Headers are the names of the headers that callers and backend servers use, in
+// canonical form. An empty name: the header isn't sent or looked for. Nodes use
+// the constants among themselves.
+type Headers struct {
+	// RequestID names a request through all hops.
+	RequestID string
+	// Timeout is the time left for a request, milliseconds.
+	Timeout string
+	// Depth is the depth of a call in its chain.
+	Depth string
+	// Caller is the service beside the node that took the request.
+	Caller string
+	// Target is the identity of the backend server that a request is meant for;
+	// any other refuses it.
+	Target string
+	// NotExecuted marks a backend server's answer to a request that it didn't run.
+	NotExecuted string
+	// Signature is a backend server's mark on the answers to requests that it ran.
+	Signature string
+	// Load is a backend server's load: running, waiting, slots and, optionally,
+	// how long work takes now in percent of the usual time, split by commas.
+	Load string
+	// EchoesRequestID: backend servers repeat RequestID on their answers.
+	EchoesRequestID bool
+}
+
+// DefaultHeaders are the names of egretfield's own interface.
+func DefaultHeaders() *Headers {
+	return &Headers{RequestID: HeaderRequestID, Timeout: HeaderTimeout, Depth: HeaderDepth}
+}
+
+// Strip removes what the system sets itself from the header of a caller's
+// request.
+func (h *Headers) Strip(header http.Header) {
+	for _, name := range [...]string{h.RequestID, h.Timeout, h.Depth, h.Caller, h.Target} {
+		delete(header, name)
+	}
+}
+
 // hopByHop are the headers that concern one connection only.
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -9,7 +9,7 @@
 	"github.com/egretfield/egretfield/internal/pb"
 )
 
-const loadFields = 7
+const loadFields = 8
 
 // FormatLoad returns the value of HeaderLoad: a load report and the backend
 // server's time to the first byte. The instance is left out: the receiver
@@ -18,7 +18,7 @@
 	buf := make([]byte, 0, 64)
 	buf = strconv.AppendUint(buf, report.Incarnation, 16)
 	for _, value := range [loadFields - 1]uint32{
-		report.InFlight, report.Queued, report.Slots, report.LatencyUs, report.ErrorsPermille,
+		report.InFlight, report.Queued, report.Slots, report.LatencyUs, report.ErrorsPermille, report.SlownessPercent,
 		uint32(min(serverTime.Microseconds(), math.MaxUint32)),
 	} {
 		buf = append(buf, ' ')
@@ -48,6 +48,6 @@
 	return &pb.LoadReport{
 		Incarnation: incarnation,
 		InFlight:    values[0], Queued: values[1], Slots: values[2],
-		LatencyUs: values[3], ErrorsPermille: values[4],
-	}, time.Duration(values[5]) * time.Microsecond
+		LatencyUs: values[3], ErrorsPermille: values[4], SlownessPercent: values[5],
+	}, time.Duration(values[6]) * time.Microsecond
 }
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -64,7 +64,8 @@
 }
 
 func (h *host) usable(c *conn) bool {
-	if time.Since(c.idle) > h.client.options.IdleTimeout {
+	idle := time.Since(c.idle)
+	if idle > h.client.options.IdleTimeout || c.idleLimit > 0 && idle > c.idleLimit {
 		return false
 	}
 	return c.alive()
