Retries of the fleet are bounded in every span of the platform's window

Cause: each entry's floor of one retry a second adds up to 240 in 10 s over 24 entries, and retries of lost attempts weren't counted. Now each entry counts requests and repeats over a sliding span and takes its part of the slack; only attempts that may have reached a backend server count.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,8 @@
 	Local LocalGate
 	// BalancerFor returns the balancer of a configured service, or nil.
 	BalancerFor func(service string) balance.Balancer
+	// Entries returns the number of entries in the fleet; nil: this is the only one.
+	Entries func() int
 	// Peer asks gates about lost attempts; nil: they stay unknown.
 	Peer peer.Client
 	// Guard decides on idempotency keys; nil: keys are passed on only.
@@ -111,6 +113,7 @@
 			state.counts.bind(name)
 		}
 		state.budget.SetPercent(s.percent)
+		state.budget.SetWindow(s.window, s.slack/float64(h.entries()))
 		s.state = state
 		states[name] = state
 	}
@@ -118,6 +121,14 @@
 	h.routes.Store(routes)
 }
 
+// entries is the number of entries that share the fleet's retries.
+func (h *Handler) entries() int {
+	if h.options.Entries == nil {
+		return 1
+	}
+	return max(h.options.Entries(), 1)
+}
+
 // SetStopping makes every answer ask its caller to use another connection.
 // Requests that still come are served.
 func (h *Handler) SetStopping() {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -228,7 +228,7 @@
 		return false
 	}
 	if answer.Lost {
-		return true
+		return x.service.state.budget.Take()
 	}
 	x.failures++
 	return x.failures <= maxFailures && x.service.state.budget.Take()
@@ -243,8 +243,12 @@
 }
 
 // goesElsewhere reports whether a certified refusal is tried at another
-// backend server. Refusals for load use up the retry budget.
+// backend server. Refusals for load use up the retry budget, and so do those of
+// requests that had reached a backend server.
 func (x *exchange) goesElsewhere(answer *wire.Answer) bool {
+	if answer.Arrived {
+		return x.attempts < maxRefusals && x.service.state.budget.Take()
+	}
 	if answer.Kind == pb.ErrorKind_ERROR_KIND_OVERLOADED {
 		return x.attempts < x.maxAttempts() && x.service.state.budget.Take()
 	}
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -43,6 +43,7 @@
 		return wire.Fail(pb.ErrorKind_ERROR_KIND_UNKNOWN_SERVICE, "neither host nor path names a service")
 	}
 	x.service, x.route = found.service, found.route
+	x.service.state.budget.Request()
 	x.maxBody = routes.limits.bodyLimit(x.route)
 	x.call = wire.Call{
 		Meta: wire.Meta{
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -43,6 +43,9 @@
 	fallback    route
 	maxAttempts int
 	percent     uint32
+	// window and slack bound the retries of the whole fleet; zero: no window.
+	window time.Duration
+	slack  float64
 	state       *serviceState
 }
 
@@ -116,6 +119,8 @@
 		fallback:    newRoute(&pb.Route{}),
 		maxAttempts: int(policy.GetMaxAttempts()),
 		percent:     policy.GetRetryBudgetPercent(),
+		window:      time.Duration(policy.GetRetryWindowMs()) * time.Millisecond,
+		slack:       float64(policy.GetRetrySlack()),
 	}
 	if s.maxAttempts == 0 {
 		s.maxAttempts = DefaultMaxAttempts
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -90,11 +90,14 @@
 		_ = answer.Body.Close() // only the header counts
 	}
 	r.end(pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil, false)
+	refusal := wire.Fail(pb.ErrorKind_ERROR_KIND_OVERLOADED, "the backend server didn't run the request")
 	if answer.Misdirected {
-		return wire.Fail(pb.ErrorKind_ERROR_KIND_NOT_READY, "another backend server has the address")
+		refusal = wire.Fail(pb.ErrorKind_ERROR_KIND_NOT_READY, "another backend server has the address")
+	} else {
+		r.gate.counts.shed.Add(1)
 	}
-	r.gate.counts.shed.Add(1)
-	return wire.Fail(pb.ErrorKind_ERROR_KIND_OVERLOADED, "the backend server didn't run the request")
+	refusal.Arrived = true
+	return refusal
 }
 
 func (r *run) send(ctx context.Context, fresh bool) (*wire.Answer, error) {
--- a/internal/gate/http.go
+++ b/internal/gate/http.go
@@ -53,6 +53,9 @@
 	if answer.Crashed {
 		header[wire.HeaderCrashed] = []string{"1"}
 	}
+	if answer.Arrived {
+		header[wire.HeaderArrived] = []string{"1"}
+	}
 	header[wire.HeaderMessage] = []string{answer.Message}
 	wire.WriteError(w, answer.Kind, answer.Message, meta.RequestID)
 }
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -169,6 +169,7 @@
 		Region:      n.settings.GetRegion(),
 		Local:       n.gate,
 		BalancerFor: n.services.balancer,
+		Entries:     n.liveMembers,
 		Peer:        n.client,
 		Quarantine:  n.suspects,
 		Meter:       meter,
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -17,6 +17,17 @@
 	return false
 }
 
+// liveMembers is the number of members that are thought to run.
+func (n *Node) liveMembers() int {
+	count := 0
+	for _, m := range n.members.View().Members {
+		if isLive(m) {
+			count++
+		}
+	}
+	return count
+}
+
 // configReaders is the number of nodes of a data centre that follow the
 // configuration stream on the log; the others hear of changes from peers.
 const configReaders = 2
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/time/rate"
 )
@@ -21,11 +22,13 @@
 	capacity = 100 * unit
 )
 
-// Budget is a token bucket that successes fill. Safe for concurrent use.
+// Budget is a token bucket that successes fill, or, once it has a window, a bound
+// on the retries in every span of time. Safe for concurrent use.
 type Budget struct {
 	percent atomic.Int64
 	tokens  atomic.Int64
 	floor   *rate.Limiter
+	window  atomic.Pointer[Window]
 }
 
 // NewBudget returns a budget that allows percent retries for 100 successes;
@@ -44,6 +47,28 @@
 	b.percent.Store(int64(percent))
 }
 
+// SetWindow makes the budget allow, in every span, percent retries for 100
+// requests and slack retries more. Slack is this entry's part of the fleet's. A
+// span of zero changes nothing.
+func (b *Budget) SetWindow(span time.Duration, slack float64) {
+	if span <= 0 {
+		return
+	}
+	window := b.window.Load()
+	if window == nil || window.span != span {
+		window = newWindow(span)
+		b.window.Store(window)
+	}
+	window.setLimits(float64(b.percent.Load())/100, slack)
+}
+
+// Request adds a request, whatever becomes of it.
+func (b *Budget) Request() {
+	if window := b.window.Load(); window != nil {
+		window.request(time.Now())
+	}
+}
+
 // Success adds a success.
 func (b *Budget) Success() {
 	tokens := b.tokens.Load()
@@ -56,6 +81,9 @@
 
 // Take reports whether a retry is allowed, and uses it up.
 func (b *Budget) Take() bool {
+	if window := b.window.Load(); window != nil {
+		return window.take(time.Now())
+	}
 	for {
 		tokens := b.tokens.Load()
 		if tokens < unit {
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,75 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/egretfield/egretfield/internal/standin/virtualtime"
+)
+
+// TestWindowUnderSheddingServers replays a service whose servers turn most
+// requests away for longer than two spans: without a bound by span, every entry's
+// floor and saved tokens add up over the fleet.
+func TestWindowUnderSheddingServers(t *testing.T) {
+	const (
+		entries = 24
+		span    = 10 * time.Second
+		percent = 20
+		slack   = 56.0
+		perStep = 10 // requests an entry sends in a step
+		step    = time.Second
+	)
+	worst, total := 0.0, 0
+	virtualtime.Test(t, func(*testing.T) {
+		budgets := make([]*Budget, entries)
+		for i := range budgets {
+			budgets[i] = NewBudget(percent)
+			budgets[i].SetWindow(span, slack/entries)
+		}
+		var retries []int
+		for range 40 {
+			inStep := 0
+			for _, b := range budgets {
+				for range perStep {
+					b.Request()
+					if b.Take() {
+						inStep++
+					}
+				}
+			}
+			retries = append(retries, inStep)
+			inSpan := 0
+			for _, n := range retries[max(0, len(retries)-int(span/step)):] {
+				inSpan += n
+			}
+			requests := float64(entries * perStep * min(len(retries), int(span/step)))
+			worst = max(worst, float64(inSpan)/(requests*percent/100+slack))
+			total += inStep
+			time.Sleep(step)
+		}
+	})
+	Convey("No span holds more retries than the fleet may make", t, func() { So(worst, ShouldBeLessThanOrEqualTo, 1) })
+	Convey("Most of the share is used all the same", t, func() {
+		So(float64(total), ShouldBeGreaterThan, 0.5*40*entries*perStep*percent/100)
+	})
+}
+
+func TestWindowForgets(t *testing.T) {
+	allowedLater := 0
+	virtualtime.Test(t, func(*testing.T) {
+		b := NewBudget(20)
+		b.SetWindow(10*time.Second, 0)
+		for range 100 {
+			b.Request()
+		}
+		takeAll(b)
+		time.Sleep(25 * time.Second)
+		for range 100 {
+			b.Request()
+		}
+		allowedLater = takeAll(b)
+	})
+	Convey("Requests and retries of an earlier span don't count", t, func() { So(allowedLater, ShouldEqual, 12) })
+}
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -65,6 +65,8 @@
 	Crashed bool
 	// NotExecuted: the backend server says that it didn't run the request.
 	NotExecuted bool
+	// Arrived: the request that was refused had reached a backend server.
+	Arrived bool
 	// Misdirected: another backend server has the address; nothing was run.
 	Misdirected bool
 	// Lost: the connection was lost, though the gate replies to control calls.
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -39,6 +39,9 @@
 	HeaderMessage = "Egret-Message"
 	// HeaderCrashed marks the answer of a gate whose backend server died.
 	HeaderCrashed = "Egret-Crashed"
+	// HeaderArrived marks the refusal of a request that had reached the backend
+	// server.
+	HeaderArrived = "Egret-Arrived"
 	// HeaderIdempotencyKey names an operation that must run at most once.
 	HeaderIdempotencyKey = "Idempotency-Key"
 
