Admission apart from input and output: order by class and target, early refusal, a share of the slots

Cause: on the grown sites gates filled every slot, which puts servers past their knee (1.7 times as long from eight tenths on), and held requests until their deadline in a queue without order within a class. Now eight tenths of the slots are used; within a class those that can still meet their target go first, and short calls before the long requests that wait for them; what can't be answered in time is refused at once, with the queue's drain time as Retry-After.

--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,235 @@
+// Package admission decides which requests a backend server runs at once, which
+// wait for it and which are turned away. It does no input or output, holds no
+// locks and is told the time.
+package admission
+
+import (
+	"time"
+)
+
+// Request is what the queue knows of a request.
+type Request struct {
+	// Class is its importance; higher classes go first.
+	Class int
+	// Target is when the answer should be there to be worth most.
+	Target time.Time
+	// Deadline is when the caller gives up.
+	Deadline time.Time
+	// Work is the time that the backend server is expected to take.
+	Work time.Duration
+}
+
+// latestStart is the last moment at which the request can begin and still be
+// answered in time.
+func (r *Request) latestStart() time.Time { return r.Deadline.Add(-r.Work) }
+
+// meetsTarget says whether the request, begun at start, is expected to meet its
+// target.
+func (r *Request) meetsTarget(start time.Time) bool { return !start.Add(r.Work).After(r.Target) }
+
+// Ticket is a request in the queue.
+type Ticket struct {
+	Request
+	arrival uint64
+	waiting bool
+}
+
+// LatestStart is the last moment at which the request can begin and still be
+// answered in time. A request that waits until then is turned away.
+func (t *Ticket) LatestStart() time.Time { return t.latestStart() }
+
+// Verdict is what becomes of a request that arrives.
+type Verdict int
+
+// Verdicts on a request that arrives.
+const (
+	// Granted: the request runs.
+	Granted Verdict = iota
+	// Queued: the request waits.
+	Queued
+	// Refused: the request is turned away.
+	Refused
+)
+
+// Queue gives out the slots of one backend server. It isn't safe for concurrent
+// use.
+type Queue struct {
+	limit   int
+	room    int
+	hold    time.Duration
+	running int
+	waiting []*Ticket
+	arrived uint64
+}
+
+// SetLimits sets the number of requests that run at once and the number that may
+// wait.
+func (q *Queue) SetLimits(limit, room int) { q.limit, q.room = limit, room }
+
+// SetHold sets the mean time that a request holds a slot.
+func (q *Queue) SetHold(hold time.Duration) { q.hold = hold }
+
+// Limit is the number of requests that run at once.
+func (q *Queue) Limit() int { return q.limit }
+
+// Running is the number of requests that hold a slot.
+func (q *Queue) Running() int { return q.running }
+
+// Waiting is the number of requests in the queue.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// Arrive decides on a request. It returns the ticket of one that waits, and the
+// ticket that was pushed out to make room for it, if any.
+func (q *Queue) Arrive(now time.Time, r Request) (verdict Verdict, ticket, evicted *Ticket) {
+	if q.running < q.limit && len(q.waiting) == 0 {
+		q.running++
+		return Granted, nil, nil
+	}
+	q.arrived++
+	ticket = &Ticket{Request: r, arrival: q.arrived}
+	if !q.worthWaiting(now, ticket) {
+		return Refused, nil, nil
+	}
+	if len(q.waiting) >= q.room {
+		if evicted = q.least(now); evicted == nil || evicted.Class >= r.Class {
+			return Refused, nil, nil
+		}
+		q.remove(evicted)
+	}
+	ticket.waiting = true
+	q.waiting = append(q.waiting, ticket)
+	return Queued, ticket, evicted
+}
+
+// worthWaiting says whether a request is expected to be answered in time if it
+// waits. In a burst most of the callers who wait get late answers or none; a
+// caller who is told at once can come back in time.
+func (q *Queue) worthWaiting(now time.Time, t *Ticket) bool {
+	start := now.Add(q.expectedWait(now, t))
+	return start.Before(t.latestStart())
+}
+
+// expectedWait is the time until the slots have served what goes before t.
+func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
+	ahead := 1
+	for _, other := range q.waiting {
+		if q.before(now, other, t) {
+			ahead++
+		}
+	}
+	return q.waitFor(ahead)
+}
+
+func (q *Queue) waitFor(ahead int) time.Duration {
+	return q.hold * time.Duration(ahead) / time.Duration(max(q.limit, 1))
+}
+
+// ExpectedWait is the time that one more request would wait behind all others.
+func (q *Queue) ExpectedWait() time.Duration {
+	if q.running < q.limit && len(q.waiting) == 0 {
+		return 0
+	}
+	return q.waitFor(len(q.waiting) + 1)
+}
+
+// before says whether a goes before b: the more important, then a request that can
+// still meet its target before one that can't, then the one whose target is next. Short calls that other requests wait for have near targets, so they pass
+// the long ones that hold a slot elsewhere meanwhile.
+func (q *Queue) before(now time.Time, a, b *Ticket) bool {
+	if a.Class != b.Class {
+		return a.Class > b.Class
+	}
+	if onTime := a.meetsTarget(now); onTime != b.meetsTarget(now) {
+		return onTime
+	}
+	if !a.Target.Equal(b.Target) {
+		return a.Target.Before(b.Target)
+	}
+	return a.arrival < b.arrival
+}
+
+// first returns the ticket that goes before all others; nil: none waits.
+func (q *Queue) first(now time.Time) *Ticket {
+	var best *Ticket
+	for _, t := range q.waiting {
+		if best == nil || q.before(now, t, best) {
+			best = t
+		}
+	}
+	return best
+}
+
+// least returns the ticket of the lowest class that goes after all others of it;
+// nil: none waits.
+func (q *Queue) least(now time.Time) *Ticket {
+	var worst *Ticket
+	for _, t := range q.waiting {
+		if worst == nil || t.Class < worst.Class || t.Class == worst.Class && q.before(now, worst, t) {
+			worst = t
+		}
+	}
+	return worst
+}
+
+// Release gives a slot back.
+func (q *Queue) Release() { q.running-- }
+
+// Next gives a free slot to a waiting request. It returns nil when no slot is
+// free or nobody waits.
+func (q *Queue) Next(now time.Time) *Ticket {
+	if q.running >= q.limit {
+		return nil
+	}
+	t := q.first(now)
+	if t == nil {
+		return nil
+	}
+	q.remove(t)
+	q.running++
+	return t
+}
+
+// Expired removes and returns the requests that can no longer be answered in
+// time.
+func (q *Queue) Expired(now time.Time) []*Ticket {
+	var expired []*Ticket
+	for _, t := range q.waiting {
+		if now.After(t.latestStart()) {
+			expired = append(expired, t)
+		}
+	}
+	for _, t := range expired {
+		q.remove(t)
+	}
+	return expired
+}
+
+// Leave takes a ticket out of the queue. It reports false when the ticket isn't
+// there any more.
+func (q *Queue) Leave(t *Ticket) bool {
+	if !t.waiting {
+		return false
+	}
+	q.remove(t)
+	return true
+}
+
+// Clear removes and returns every waiting request.
+func (q *Queue) Clear() []*Ticket {
+	cleared := q.waiting
+	for _, t := range cleared {
+		t.waiting = false
+	}
+	q.waiting = nil
+	return cleared
+}
+
+func (q *Queue) remove(t *Ticket) {
+	for i := range q.waiting {
+		if q.waiting[i] == t {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			t.waiting = false
+			return
+		}
+	}
+}
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -49,6 +49,7 @@
 		Meta: wire.Meta{
 			RequestID:  x.requestID,
 			Service:    found.service.name,
+			Route:      x.route.name,
 			Caller:     x.handler.options.Service,
 			Class:      x.route.class,
 			Idempotent: x.route.isIdempotent(x.r.Method),
--- a/internal/entry/requestroute.go
+++ b/internal/entry/requestroute.go
@@ -14,7 +14,6 @@
 // requestRoute sends the requests of a host and path prefix to its services.
 type requestRoute struct {
 	route
-	name  string
 	split split
 }
 
@@ -47,12 +46,13 @@
 // newRequestRoute builds one route; parts with unknown services are left out.
 func (routes *Routes) newRequestRoute(from *pb.RequestRoute) *requestRoute {
 	idempotent := from.GetIdempotent()
-	r := &requestRoute{name: from.GetName(), route: newRoute(&pb.Route{
+	r := &requestRoute{route: newRoute(&pb.Route{
 		PathPrefix: from.GetPathPrefix(),
 		Idempotent: &idempotent,
 		Class:      from.GetClass(),
 		DeadlineMs: from.GetTimeoutMs(),
 	})}
+	r.name = from.GetName()
 	r.timeout = time.Duration(from.GetTimeoutMs()) * time.Millisecond
 	r.target = time.Duration(from.GetTargetLatencyMs()) * time.Millisecond
 	r.maxAttempts = int(from.GetMaxAttempts())
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -46,7 +46,7 @@
 	// window and slack bound the retries of the whole fleet; zero: no window.
 	window time.Duration
 	slack  float64
-	state       *serviceState
+	state  *serviceState
 }
 
 // serviceState is what outlives a snapshot.
@@ -57,6 +57,8 @@
 
 // route is one route of a service.
 type route struct {
+	// name of a request route; empty for a route of a service.
+	name       string
 	pathPrefix string
 	methods    []string
 	// idempotent: nil follows the method.
@@ -133,13 +135,13 @@
 
 func newRoute(from *pb.Route) route {
 	r := route{
-		pathPrefix: from.GetPathPrefix(),
-		methods:    from.GetMethods(),
-		idempotent: from.Idempotent,
-		class:      from.GetClass(),
-		deadline:   time.Duration(from.GetDeadlineMs()) * time.Millisecond,
-		maxBody:    int64(from.GetMaxBodyBytes()),
-		requireKey: from.GetRequireKey(),
+		pathPrefix:  from.GetPathPrefix(),
+		methods:     from.GetMethods(),
+		idempotent:  from.Idempotent,
+		class:       from.GetClass(),
+		deadline:    time.Duration(from.GetDeadlineMs()) * time.Millisecond,
+		maxBody:     int64(from.GetMaxBodyBytes()),
+		requireKey:  from.GetRequireKey(),
 	}
 	if r.class == pb.Class_CLASS_UNSPECIFIED {
 		r.class = pb.Class_CLASS_NORMAL
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -48,7 +48,7 @@
 func (b *runBody) broken() {
 	b.ended = true
 	b.run.gate.brokenAt(context.Background(), b.run.server, b.run.call.Fingerprint)
-	b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, true)
+	b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, ending{failed: true})
 }
 
 // Close gives up the rest of the body.
@@ -56,7 +56,7 @@
 	err := b.ReadCloser.Close()
 	if !b.ended {
 		b.ended = true
-		b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, false)
+		b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, ending{})
 	}
 	return err
 }
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -36,9 +36,11 @@
 	if kind := g.attempts.begin(call.Attempt); kind != 0 {
 		return wire.Fail(kind, "the attempt came too late")
 	}
-	if kind := g.limiter.acquire(ctx, call.Class, call.Deadline); kind != 0 {
+	if kind := g.limiter.acquire(ctx, slotOf(call)); kind != 0 {
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
-		return wire.Fail(kind, "the request wasn't given a slot")
+		refusal := wire.Fail(kind, "the request wasn't given a slot")
+		refusal.RetryAfter = g.limiter.retryAfter()
+		return refusal
 	}
 	if current := g.server.Load(); current != server {
 		g.limiter.giveBack()
@@ -50,6 +52,11 @@
 	return r.do(ctx)
 }
 
+// slotOf is what a call asks the limiter for.
+func slotOf(call *wire.Call) slot {
+	return slot{class: call.Class, route: call.Route, target: call.Target, deadline: call.Deadline}
+}
+
 // run is a call that holds a slot.
 type run struct {
 	gate   *Gate
@@ -89,7 +96,7 @@
 	if answer.Body != nil {
 		_ = answer.Body.Close() // only the header counts
 	}
-	r.end(pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil, false)
+	r.end(pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil, ending{failed: true})
 	refusal := wire.Fail(pb.ErrorKind_ERROR_KIND_OVERLOADED, "the backend server didn't run the request")
 	if answer.Misdirected {
 		refusal = wire.Fail(pb.ErrorKind_ERROR_KIND_NOT_READY, "another backend server has the address")
@@ -131,7 +138,7 @@
 	if errkind.Of(kind).Run == pb.RunState_RUN_STATE_NO {
 		state = pb.AttemptState_ATTEMPT_STATE_NOT_RUN
 	}
-	r.end(state, nil, ctx.Err() == nil)
+	r.end(state, nil, ending{failed: ctx.Err() == nil})
 	answer := wire.Fail(kind, "the backend server gave no answer")
 	answer.Crashed = crashed
 	return answer
@@ -172,11 +179,12 @@
 func (r *run) finish(failed bool) {
 	r.server.crash.recovered()
 	r.gate.options.Quarantine.Succeeded(r.call.Fingerprint)
-	r.end(pb.AttemptState_ATTEMPT_STATE_DONE, r.kept, failed)
+	r.end(pb.AttemptState_ATTEMPT_STATE_DONE, r.kept, ending{ran: !failed, failed: failed})
 }
 
-func (r *run) end(state pb.AttemptState, answer *pb.StoredAnswer, failed bool) {
+func (r *run) end(state pb.AttemptState, answer *pb.StoredAnswer, how ending) {
 	r.gate.attempts.end(r.call.Attempt, state, answer)
 	r.server.crash.leave(r.call.Fingerprint)
-	r.gate.limiter.release(time.Since(r.begun), failed)
+	how.route, how.held = r.call.Route, time.Since(r.begun)
+	r.gate.limiter.release(how)
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -71,8 +71,6 @@
 	server   atomic.Pointer[guarded]
 	draining atomic.Bool
 	counts   counts
-	// slowness is what the backend server last said of its machine, percent.
-	slowness atomic.Uint32
 	// minSilence is the least silence of the server that breaks a connection.
 	minSilence time.Duration
 }
@@ -161,14 +159,13 @@
 func (g *Gate) Report() *pb.LoadReport {
 	report := &pb.LoadReport{Instance: g.options.Instance, Incarnation: g.options.Incarnation}
 	g.limiter.fill(report)
-	report.SlownessPercent = g.slowness.Load()
 	return report
 }
 
 // noteLoad takes what the backend server says of itself; nil: nothing.
 func (g *Gate) noteLoad(load *pb.LoadReport) {
 	if load != nil {
-		g.slowness.Store(load.GetSlownessPercent())
+		g.limiter.setSlowness(load.GetSlownessPercent())
 	}
 }
 
--- a/internal/gate/http.go
+++ b/internal/gate/http.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/egretfield/egretfield/internal/errkind"
@@ -50,6 +51,9 @@
 		wire.WriteAnswer(w, answer)
 		return
 	}
+	if answer.RetryAfter > 0 {
+		header[wire.HeaderRetryAfter] = []string{strconv.FormatInt(answer.RetryAfter.Milliseconds(), 10)}
+	}
 	if answer.Crashed {
 		header[wire.HeaderCrashed] = []string{"1"}
 	}
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -2,43 +2,43 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/egretfield/egretfield/internal/admission"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
 )
 
 const (
 	classes = int(pb.Class_CLASS_CRITICAL) + 1
-	// smoothing is the weight of the past in the smoothed service time.
-	smoothing = 8
+	// failureWeight is the weight of the newest sample in the share of failures.
+	failureWeight = 0.125
 	// defaultQueuePercent bounds the queue as a share of the slots.
 	defaultQueuePercent = 100
+	// minRetryAfter is the least wait suggested to a caller; sooner, nothing can
+	// have changed.
+	minRetryAfter = 50 * time.Millisecond
 )
 
-// waiter is a request that waits for a slot.
-type waiter struct {
-	class int
-	// verdict receives 0 when the slot is given, or the kind of the refusal.
-	verdict chan errkind.Kind
-}
-
 // limiter gives out the slots of one backend server. Safe for concurrent use.
 type limiter struct {
 	mu           sync.Mutex
 	slots        int
 	queuePercent int
-	running      int
-	queued       int
-	queues       [classes][]*waiter
-	latency      time.Duration
-	failures     float64 // smoothed share, 0 to 1
-	idle         chan struct{}
+	queue        admission.Queue
+	work         admission.Work
+	// verdicts receive 0 when the slot is given, or the kind of the refusal.
+	verdicts map[*admission.Ticket]chan errkind.Kind
+	// slowness is what the server last said of its machine, percent; zero: nothing.
+	slowness uint32
+	failures float64 // smoothed share, 0 to 1
+	idle     chan struct{}
 }
 
 func newLimiter() *limiter {
-	return &limiter{queuePercent: defaultQueuePercent}
+	return &limiter{queuePercent: defaultQueuePercent, verdicts: make(map[*admission.Ticket]chan errkind.Kind)}
 }
 
 // configure sets the number of slots and lets waiting requests in. Without
@@ -47,47 +47,68 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.slots = slots
+	l.setLimitsLocked()
 	if slots == 0 {
-		l.refuseAllLocked()
+		for _, t := range l.queue.Clear() {
+			l.decideLocked(t, pb.ErrorKind_ERROR_KIND_NOT_READY)
+		}
 	}
 	l.grantLocked()
 }
 
-func (l *limiter) refuseAllLocked() {
-	for c := range l.queues {
-		for _, w := range l.queues[c] {
-			w.verdict <- pb.ErrorKind_ERROR_KIND_NOT_READY
-		}
-		l.queues[c] = nil
-	}
-	l.queued = 0
+func (l *limiter) setLimitsLocked() {
+	l.queue.SetLimits(admission.Concurrency(l.slots), l.slots*l.queuePercent/100)
 }
 
 func (l *limiter) setQueuePercent(percent int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.queuePercent = percent
+	l.setLimitsLocked()
 }
 
-// acquire takes a slot, waiting in the queue until deadline at most. It
-// returns 0, or the kind of the refusal.
-func (l *limiter) acquire(ctx context.Context, class pb.Class, deadline time.Time) errkind.Kind {
-	w, kind := l.enter(clampClass(class), deadline)
-	if w == nil {
+// setSlowness notes what the server says of its machine, percent.
+func (l *limiter) setSlowness(percent uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slowness = percent
+}
+
+// slot is what a request asks the limiter for.
+type slot struct {
+	class    pb.Class
+	route    string
+	target   time.Time
+	deadline time.Time
+}
+
+// acquire takes a slot, waiting in the queue as long as the request can still be
+// answered in time. It returns 0, or the kind of the refusal.
+func (l *limiter) acquire(ctx context.Context, s slot) errkind.Kind {
+	ticket, verdict, kind := l.enter(s)
+	if ticket == nil {
 		return kind
 	}
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(time.Until(ticket.LatestStart()))
 	defer timer.Stop()
 	select {
-	case kind = <-w.verdict:
+	case kind = <-verdict:
 		return kind
 	case <-ctx.Done():
-		return l.leave(w, pb.ErrorKind_ERROR_KIND_CANCELLED)
+		return l.leave(ticket, verdict, pb.ErrorKind_ERROR_KIND_CANCELLED)
 	case <-timer.C:
-		return l.leave(w, pb.ErrorKind_ERROR_KIND_DEADLINE_BEFORE_RUN)
+		return l.leave(ticket, verdict, tooLate(s.deadline))
 	}
 }
 
+// tooLate is the kind of a request that waited as long as it could.
+func tooLate(deadline time.Time) errkind.Kind {
+	if time.Now().Before(deadline) {
+		return pb.ErrorKind_ERROR_KIND_OVERLOADED
+	}
+	return pb.ErrorKind_ERROR_KIND_DEADLINE_BEFORE_RUN
+}
+
 func clampClass(class pb.Class) int {
 	if class <= pb.Class_CLASS_UNSPECIFIED || int(class) >= classes {
 		return int(pb.Class_CLASS_NORMAL)
@@ -96,67 +117,51 @@
 }
 
 // enter gives a slot at once, queues the request or refuses it.
-func (l *limiter) enter(class int, deadline time.Time) (*waiter, errkind.Kind) {
+func (l *limiter) enter(s slot) (*admission.Ticket, chan errkind.Kind, errkind.Kind) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.running < l.slots && l.queued == 0 {
-		l.running++
-		return nil, 0
+	now := time.Now()
+	request := admission.Request{
+		Class:    clampClass(s.class),
+		Target:   s.target,
+		Deadline: s.deadline,
+		Work:     l.work.Expect(s.route, l.slowness),
 	}
-	if !l.inTimeLocked(class, deadline) || !l.roomLocked(class) {
-		return nil, pb.ErrorKind_ERROR_KIND_OVERLOADED
+	if request.Target.IsZero() {
+		request.Target = s.deadline
 	}
-	w := &waiter{class: class, verdict: make(chan errkind.Kind, 1)}
-	l.queues[class] = append(l.queues[class], w)
-	l.queued++
-	return w, 0
-}
-
-// inTimeLocked reports whether a slot is likely to be free before deadline.
-func (l *limiter) inTimeLocked(class int, deadline time.Time) bool {
-	ahead := 1
-	for c := class; c < classes; c++ {
-		ahead += len(l.queues[c])
+	l.queue.SetHold(l.work.Mean(l.slowness))
+	verdict, ticket, evicted := l.queue.Arrive(now, request)
+	if evicted != nil {
+		l.decideLocked(evicted, pb.ErrorKind_ERROR_KIND_OVERLOADED)
+	}
+	switch verdict {
+	case admission.Granted:
+		return nil, nil, 0
+	case admission.Refused:
+		return nil, nil, pb.ErrorKind_ERROR_KIND_OVERLOADED
 	}
-	wait := l.latency * time.Duration(ahead) / time.Duration(max(l.slots, 1))
-	return time.Now().Add(wait).Before(deadline)
+	l.verdicts[ticket] = make(chan errkind.Kind, 1)
+	return ticket, l.verdicts[ticket], 0
 }
 
-// roomLocked makes room in the queue, if need be by refusing the newest
-// request of a lower class.
-func (l *limiter) roomLocked(class int) bool {
-	if l.queued < l.slots*l.queuePercent/100 {
-		return true
-	}
-	for c := range class {
-		last := len(l.queues[c]) - 1
-		if last < 0 {
-			continue
-		}
-		evicted := l.queues[c][last]
-		l.queues[c] = l.queues[c][:last]
-		l.queued--
-		evicted.verdict <- pb.ErrorKind_ERROR_KIND_OVERLOADED
-		return true
-	}
-	return false
+// decideLocked tells a request that waited what became of it.
+func (l *limiter) decideLocked(t *admission.Ticket, kind errkind.Kind) {
+	l.verdicts[t] <- kind
+	delete(l.verdicts, t)
 }
 
-// leave takes w out of the queue. A slot given meanwhile is given back.
-func (l *limiter) leave(w *waiter, kind errkind.Kind) errkind.Kind {
+// leave takes a ticket out of the queue. A slot given meanwhile is given back.
+func (l *limiter) leave(t *admission.Ticket, verdict chan errkind.Kind, kind errkind.Kind) errkind.Kind {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	queue := l.queues[w.class]
-	for i := range queue {
-		if queue[i] == w {
-			l.queues[w.class] = append(queue[:i], queue[i+1:]...)
-			l.queued--
-			l.signalLocked()
-			return kind
-		}
+	if l.queue.Leave(t) {
+		delete(l.verdicts, t)
+		l.signalLocked()
+		return kind
 	}
-	if <-w.verdict == 0 {
-		l.running--
+	if <-verdict == 0 {
+		l.queue.Release()
 		l.grantLocked()
 	}
 	return kind
@@ -166,40 +171,50 @@
 func (l *limiter) giveBack() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.running--
+	l.queue.Release()
 	l.grantLocked()
 }
 
-// release gives a slot back after it was held for the given time.
-func (l *limiter) release(held time.Duration, failed bool) {
+// ending is how a request ended that held a slot.
+type ending struct {
+	route string
+	held  time.Duration
+	// ran says that the server worked on the request to the end.
+	ran    bool
+	failed bool
+}
+
+// release gives a slot back after a request ended.
+func (l *limiter) release(e ending) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.running--
-	l.latency += (held - l.latency) / smoothing
+	if e.ran {
+		l.work.Add(e.route, e.held, l.slowness)
+	}
 	share := 0.0
-	if failed {
+	if e.failed {
 		share = 1
 	}
-	l.failures += (share - l.failures) / smoothing
+	l.failures += failureWeight * (share - l.failures)
+	l.queue.Release()
 	l.grantLocked()
 }
 
-// grantLocked hands free slots to waiting requests, important classes first.
+// grantLocked hands free slots to waiting requests and turns those away that can
+// no longer be answered in time.
 func (l *limiter) grantLocked() {
-	for c := classes - 1; c >= 0; c-- {
-		for len(l.queues[c]) > 0 && l.running < l.slots {
-			w := l.queues[c][0]
-			l.queues[c] = append(l.queues[c][:0], l.queues[c][1:]...)
-			l.queued--
-			l.running++
-			w.verdict <- 0
-		}
+	now := time.Now()
+	for _, t := range l.queue.Expired(now) {
+		l.decideLocked(t, tooLate(t.Deadline))
+	}
+	for t := l.queue.Next(now); t != nil; t = l.queue.Next(now) {
+		l.decideLocked(t, 0)
 	}
 	l.signalLocked()
 }
 
 func (l *limiter) signalLocked() {
-	if l.idle != nil && l.running == 0 && l.queued == 0 {
+	if l.idle != nil && l.queue.Running() == 0 && l.queue.Waiting() == 0 {
 		close(l.idle)
 		l.idle = nil
 	}
@@ -221,15 +236,27 @@
 func (l *limiter) fill(report *pb.LoadReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	report.InFlight = uint32(l.running)
-	report.Queued = uint32(l.queued)
-	report.Slots = uint32(l.slots)
-	report.LatencyUs = uint32(min(l.latency.Microseconds(), 1<<31))
+	report.InFlight = uint32(l.queue.Running())
+	report.Queued = uint32(l.queue.Waiting())
+	report.Slots = uint32(l.queue.Limit())
+	report.LatencyUs = uint32(min(l.work.Usual().Microseconds(), 1<<31))
 	report.ErrorsPermille = uint32(l.failures * 1000)
+	report.SlownessPercent = l.slowness
 }
 
 func (l *limiter) smoothedLatency() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.latency
+	return l.work.Mean(l.slowness)
+}
+
+// retryAfter is the wait to suggest to a caller who is turned away: the time in
+// which the queue drains, spread by half to either side so that those turned away
+// together don't come back together.
+func (l *limiter) retryAfter() time.Duration {
+	l.mu.Lock()
+	wait := l.queue.ExpectedWait()
+	l.mu.Unlock()
+	wait = max(wait, minRetryAfter)
+	return wait/2 + rand.N(wait)
 }
--- a/internal/gate/limiter_test.go
+++ b/internal/gate/limiter_test.go
@@ -23,7 +23,7 @@
 // queueUp starts an acquire and returns where its verdict will come.
 func queueUp(ctx context.Context, l *limiter, class pb.Class, wait time.Duration) chan errkind.Kind {
 	verdict := make(chan errkind.Kind, 1)
-	go func() { verdict <- l.acquire(ctx, class, time.Now().Add(wait)) }()
+	go func() { verdict <- l.acquire(ctx, slot{class: class, deadline: time.Now().Add(wait)}) }()
 	synctest.Wait()
 	return verdict
 }
@@ -36,7 +36,7 @@
 				l.configure(2)
 				ctx := context.Background()
 				for range 2 {
-					if kind := l.acquire(ctx, normal, time.Now().Add(time.Second)); kind != 0 {
+					if kind := l.acquire(ctx, slot{class: normal, deadline: time.Now().Add(time.Second)}); kind != 0 {
 						t.Fatalf("%s: slot refused: %v", name, kind)
 					}
 				}
@@ -48,10 +48,10 @@
 			var report pb.LoadReport
 			run("exact", func(ctx context.Context, l *limiter) {
 				a, b := queueUp(ctx, l, normal, time.Second), queueUp(ctx, l, normal, time.Second)
-				verdict = l.acquire(ctx, normal, time.Now().Add(time.Second))
+				verdict = l.acquire(ctx, slot{class: normal, deadline: time.Now().Add(time.Second)})
 				l.fill(&report)
-				l.release(0, false)
-				l.release(0, false)
+				l.release(ending{})
+				l.release(ending{})
 				<-a
 				<-b
 			})
@@ -66,10 +66,10 @@
 				a, b := queueUp(ctx, l, background, time.Second), queueUp(ctx, l, normal, time.Second)
 				c := queueUp(ctx, l, critical, time.Second)
 				pushed = <-a
-				l.release(0, false)
+				l.release(ending{})
 				first = <-c
 				waiting = len(b)
-				l.release(0, false)
+				l.release(ending{})
 				<-b
 			})
 			So(pushed, ShouldEqual, overloaded)
@@ -100,9 +100,9 @@
 			var kind errkind.Kind
 			var took time.Duration
 			run("estimate", func(ctx context.Context, l *limiter) {
-				l.latency = time.Second
+				l.work.Add("", time.Second, 0)
 				begun := time.Now()
-				kind = l.acquire(ctx, normal, begun.Add(100*time.Millisecond))
+				kind = l.acquire(ctx, slot{class: normal, deadline: begun.Add(100 * time.Millisecond)})
 				took = time.Since(begun)
 			})
 			So(kind, ShouldEqual, overloaded)
@@ -121,9 +121,9 @@
 			before, after := true, false
 			run("idle", func(_ context.Context, l *limiter) {
 				idle := l.whenIdle()
-				l.release(0, false)
+				l.release(ending{})
 				before = isClosed(idle)
-				l.release(0, false)
+				l.release(ending{})
 				after = isClosed(idle) && isClosed(l.whenIdle())
 			})
 			So(before, ShouldBeFalse)
@@ -132,9 +132,9 @@
 		Convey("a slot given to one who leaves at that moment isn't lost", func() {
 			var report pb.LoadReport
 			run("race", func(_ context.Context, l *limiter) {
-				w, _ := l.enter(int(normal), time.Now().Add(time.Second))
-				l.release(0, false)
-				l.leave(w, pb.ErrorKind_ERROR_KIND_CANCELLED)
+				w, verdict, _ := l.enter(slot{class: normal, deadline: time.Now().Add(time.Second)})
+				l.release(ending{})
+				l.leave(w, verdict, pb.ErrorKind_ERROR_KIND_CANCELLED)
 				l.fill(&report)
 			})
 			So(report.InFlight, ShouldEqual, 1)
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -27,6 +27,8 @@
 	Fingerprint uint64
 	// Target is when the answer should be there to be worth most.
 	Target time.Time
+	// Route names the kind of request; empty: none.
+	Route string
 	// Caller is the service beside the node that took the request.
 	Caller string
 }
@@ -91,7 +93,7 @@
 	return &Answer{Kind: kind, Message: message}
 }
 
-const metaFields = 8
+const metaFields = 9
 
 // appendMeta writes the value of HeaderCall. The times left are in milliseconds.
 func appendMeta(buf []byte, m *Meta, left, untilTarget int64) []byte {
@@ -109,7 +111,36 @@
 	buf = append(buf, ' ')
 	buf = strconv.AppendInt(buf, untilTarget, 10)
 	buf = append(buf, ' ')
-	return append(buf, m.Caller...)
+	buf = append(buf, nameOrNone(m.Caller)...)
+	buf = append(buf, ' ')
+	return append(buf, nameOrNone(m.Route)...)
+}
+
+// noName stands for an empty name in HeaderCall: the fields are split by spaces,
+// and spaces at the end of a header are lost.
+const noName = "-"
+
+func nameOrNone(name string) string {
+	if name == "" {
+		return noName
+	}
+	return name
+}
+
+func nameOf(field string) string {
+	if field == noName {
+		return ""
+	}
+	return field
+}
+
+// parseMillis parses whole milliseconds; anything else is none.
+func parseMillis(text string) time.Duration {
+	value, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(value) * time.Millisecond
 }
 
 // ParseMeta reads the headers that an entry sends to a gate.
@@ -154,6 +185,7 @@
 		Depth:       int(depth),
 		Fingerprint: fingerprint,
 		Target:      now.Add(time.Duration(untilTarget) * time.Millisecond),
-		Caller:      fields[7],
+		Caller:      nameOf(fields[7]),
+		Route:       nameOf(fields[8]),
 	}, fields[0] != ""
 }
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -23,6 +23,7 @@
 		meta := Meta{
 			Attempt: id, RequestID: "r", Service: "s", Class: pb.Class_CLASS_CRITICAL, Idempotent: true,
 			Depth: 3, Deadline: now.Add(1500 * time.Millisecond), Fingerprint: 1 << 63,
+			Target: now.Add(400 * time.Millisecond), Route: "r-1", Caller: "web",
 		}
 		header := http.Header{
 			HeaderAttempt: {id.String()}, HeaderRequestID: {"r"}, HeaderCall: {string(appendMeta(nil, &meta, 1500, 400))},
@@ -30,7 +31,7 @@
 		parsed, err := ParseMeta(header, now)
 		So(err, ShouldBeNil)
 		So(parsed, ShouldResemble, meta)
-		report := &pb.LoadReport{Incarnation: 1 << 60, InFlight: 1, Queued: 2, Slots: 3, LatencyUs: 4, ErrorsPermille: 5}
+		report := &pb.LoadReport{Incarnation: 1 << 60, InFlight: 1, Queued: 2, Slots: 3, LatencyUs: 4, ErrorsPermille: 5, SlownessPercent: 250}
 		got, serverTime := ParseLoad(FormatLoad(report, 6*time.Microsecond))
 		So(got.String(), ShouldEqual, report.String())
 		So(serverTime, ShouldEqual, 6*time.Microsecond)
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -298,6 +298,7 @@
 		}
 		answer.Kind = kind
 		answer.Crashed = header.Get(HeaderCrashed) != ""
+		answer.RetryAfter = parseMillis(header.Get(HeaderRetryAfter))
 		answer.Arrived = header.Get(HeaderArrived) != ""
 		answer.Message = header.Get(HeaderMessage)
 	}
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -42,6 +42,8 @@
 	// HeaderArrived marks the refusal of a request that had reached the backend
 	// server.
 	HeaderArrived = "Egret-Arrived"
+	// HeaderRetryAfter is the wait that a gate suggests to a caller, milliseconds.
+	HeaderRetryAfter = "Egret-Retry-After"
 	// HeaderIdempotencyKey names an operation that must run at most once.
 	HeaderIdempotencyKey = "Idempotency-Key"
 
