Try: placement by predicted time, with load news and probes

Expected: entries that know slow moments of servers avoid them. Cause: refusals are exact and cheap within a region already, news is older than a slow moment lasts, and comparing single endpoints lets requests leave the region in a shortage, where a call that crosses holds its parent's slot 40 ms longer. The hysteresis of p2c_ewma keeps them.

--- a/internal/balance/policies.go
+++ b/internal/balance/policies.go
@@ -18,6 +18,7 @@
 	P2C           = "p2c"
 	P2CEWMA       = "p2c_ewma"
 	ProbePool     = "probe_pool"
+	Predicted     = "predicted"
 	// Default is the policy of a configuration that names none.
 	Default = P2CEWMA
 )
@@ -34,7 +35,7 @@
 
 // Names returns the names of all policies, sorted.
 func Names() []string {
-	names := []string{RoundRobin, Random, LeastInFlight, P2C, P2CEWMA, ProbePool}
+	names := []string{RoundRobin, Random, LeastInFlight, P2C, P2CEWMA, ProbePool, Predicted}
 	slices.Sort(names)
 	return names
 }
@@ -56,6 +57,8 @@
 		p.chooser = newTwoChoices(p.options.Rand, isFaster)
 	case ProbePool:
 		p.chooser = &probePool{rand: p.options.Rand}
+	case Predicted:
+		return &predicted{pool: p}, nil
 	default:
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_INVALID_CONFIG, "unknown balancer %q, want one of %v", name, Names())
 	}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -49,8 +49,10 @@
 
 // Options configure a balancer.
 type Options struct {
-	// Region is that of this entry.
-	Region string
+	// Region, DataCentre and Instance are those of this entry.
+	Region     string
+	DataCentre string
+	Instance   string
 	// Rand returns random numbers; nil: math/rand/v2.
 	Rand func() uint64
 }
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/egretfield/egretfield/internal/admission"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/wire"
@@ -54,7 +55,11 @@
 
 // slotOf is what a call asks the limiter for.
 func slotOf(call *wire.Call) slot {
-	return slot{class: call.Class, route: call.Route, target: call.Target, deadline: call.Deadline}
+	offer := admission.OfferWait
+	if call.NoWait {
+		offer = admission.OfferNow
+	}
+	return slot{class: call.Class, route: call.Route, target: call.Target, deadline: call.Deadline, offer: offer}
 }
 
 // run is a call that holds a slot.
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -29,6 +29,8 @@
 	Target time.Time
 	// Route names the kind of request; empty: none.
 	Route string
+	// NoWait: the gate runs the request at once or refuses it.
+	NoWait bool
 	// Caller is the service beside the node that took the request.
 	Caller string
 }
@@ -93,7 +95,7 @@
 	return &Answer{Kind: kind, Message: message}
 }
 
-const metaFields = 9
+const metaFields = 10
 
 // appendMeta writes the value of HeaderCall. The times left are in milliseconds.
 func appendMeta(buf []byte, m *Meta, left, untilTarget int64) []byte {
@@ -113,6 +115,8 @@
 	buf = append(buf, ' ')
 	buf = append(buf, nameOrNone(m.Caller)...)
 	buf = append(buf, ' ')
+	buf = strconv.AppendBool(buf, m.NoWait)
+	buf = append(buf, ' ')
 	return append(buf, nameOrNone(m.Route)...)
 }
 
@@ -174,7 +178,8 @@
 	depth, errDepth := strconv.ParseUint(fields[4], 10, 16)
 	fingerprint, errFingerprint := strconv.ParseUint(fields[5], 16, 64)
 	untilTarget, errTarget := strconv.ParseInt(fields[6], 10, 32)
-	if errTarget != nil || errLeft != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
+	noWait, errNoWait := strconv.ParseBool(fields[8])
+	if errNoWait != nil || errTarget != nil || errLeft != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
 		return Meta{}, false
 	}
 	return Meta{
@@ -186,6 +191,7 @@
 		Fingerprint: fingerprint,
 		Target:      now.Add(time.Duration(untilTarget) * time.Millisecond),
 		Caller:      nameOf(fields[7]),
-		Route:       nameOf(fields[8]),
+		NoWait:      noWait,
+		Route:       nameOf(fields[9]),
 	}, fields[0] != ""
 }
