--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -7,17 +7,6 @@
 	"time"
 )
 
-// Offer says what an entry asks of a gate.
-type Offer int
-
-// Offers of an entry.
-const (
-	// OfferWait: run the request, or let it wait if that helps its caller.
-	OfferWait Offer = iota
-	// OfferNow: run the request at once or turn it away; others may be free.
-	OfferNow
-)
-
 // Request is what the queue knows of a request.
 type Request struct {
 	// Class is its importance; higher classes go first.
@@ -27,8 +16,7 @@
 	// Deadline is when the caller gives up.
 	Deadline time.Time
 	// Work is the time that the backend server is expected to take.
-	Work  time.Duration
-	Offer Offer
+	Work time.Duration
 }
 
 // latestStart is the last moment at which the request can begin and still be
@@ -97,9 +85,6 @@
 		q.running++
 		return Granted, nil, nil
 	}
-	if r.Offer == OfferNow {
-		return Refused, nil, nil
-	}
 	q.arrived++
 	ticket = &Ticket{Request: r, arrival: q.arrived}
 	if !q.worthWaiting(now, ticket) {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -74,16 +74,6 @@
 		verdict, _, _ = q.Arrive(start, request(low, 100*time.Millisecond, 120*time.Millisecond, 500*time.Millisecond))
 		So(verdict, ShouldEqual, Queued)
 	})
-	Convey("An offer for now never waits", t, func() {
-		q := fullQueue(1, 100, time.Millisecond)
-		r := request(high, time.Millisecond, time.Second, time.Second)
-		r.Offer = OfferNow
-		verdict, _, _ := q.Arrive(start, r)
-		So(verdict, ShouldEqual, Refused)
-		q.Release()
-		verdict, _, _ = q.Arrive(start, r)
-		So(verdict, ShouldEqual, Granted)
-	})
 	Convey("A full queue makes room for the more important only", t, func() {
 		q := fullQueue(1, 1, time.Millisecond)
 		_, first, _ := q.Arrive(start, request(low, 0, time.Second, time.Second))
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -26,12 +26,8 @@
 	Class pb.Class
 	// Tried are the instances that refused or failed this request already.
 	Tried []string
-	// Busy are the instances that were full a moment ago.
-	Busy []string
 	// BodyBytes is the length of the request body, -1 when unknown.
 	BodyBytes int64
-	// AnswerBytes is the expected length of the answer.
-	AnswerBytes int64
 }
 
 // Outcome is how an attempt ended.
@@ -62,26 +58,6 @@
 	Bytes int64
 }
 
-// Placement is a choice of a Placer.
-type Placement struct {
-	Endpoint *Endpoint
-	// Waits says that the request is expected to wait at the endpoint.
-	Waits bool
-}
-
-// Placer is a Balancer that knows whether the endpoint it chooses is free.
-type Placer interface {
-	Balancer
-	// Place chooses like Pick. Instances of info.Busy have refused to run the
-	// request at once; it may still wait there.
-	Place(info PickInfo) (Placement, error)
-}
-
-// Observer takes load reports that come by themselves.
-type Observer interface {
-	Observe(load *pb.LoadReport)
-}
-
 // Balancer chooses among the endpoints of one service. Pick and Done are safe
 // for concurrent use and take no lock on the hot path; Update may run at the
 // same time as both.
--- a/internal/balance/policies.go
+++ b/internal/balance/policies.go
@@ -18,7 +18,6 @@
 	P2C           = "p2c"
 	P2CEWMA       = "p2c_ewma"
 	ProbePool     = "probe_pool"
-	Predicted     = "predicted"
 	// Default is the policy of a configuration that names none.
 	Default = P2CEWMA
 )
@@ -35,7 +34,7 @@
 
 // Names returns the names of all policies, sorted.
 func Names() []string {
-	names := []string{RoundRobin, Random, LeastInFlight, P2C, P2CEWMA, ProbePool, Predicted}
+	names := []string{RoundRobin, Random, LeastInFlight, P2C, P2CEWMA, ProbePool}
 	slices.Sort(names)
 	return names
 }
@@ -57,8 +56,6 @@
 		p.chooser = newTwoChoices(p.options.Rand, isFaster)
 	case ProbePool:
 		p.chooser = &probePool{rand: p.options.Rand}
-	case Predicted:
-		return &predicted{pool: p}, nil
 	default:
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_INVALID_CONFIG, "unknown balancer %q, want one of %v", name, Names())
 	}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -49,10 +49,8 @@
 
 // Options configure a balancer.
 type Options struct {
-	// Region, DataCentre and Instance are those of this entry.
-	Region     string
-	DataCentre string
-	Instance   string
+	// Region is that of this entry.
+	Region string
 	// Rand returns random numbers; nil: math/rand/v2.
 	Rand func() uint64
 }
--- a/internal/balance/slot.go
+++ b/internal/balance/slot.go
@@ -29,8 +29,6 @@
 	load  float64
 	ownAt int64
 	at    time.Time
-	// gate is the report as the gate gave it.
-	gate *pb.LoadReport
 	// uses counts the picks that relied on it; see probePool.
 	uses atomic.Int32
 }
@@ -125,7 +123,6 @@
 		load:  reported,
 		ownAt: s.own.Load(),
 		at:    now,
-		gate:  load,
 	})
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -41,8 +41,6 @@
 
 	balancer balance.Balancer
 	tried    []string
-	// busy are the instances that couldn't run the request at once.
-	busy     []string
 	triedFew [DefaultMaxAttempts]string // backs tried
 	attempts int
 	failures int
@@ -137,7 +135,7 @@
 	if !time.Now().Before(x.call.Deadline) {
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_DEADLINE_BEFORE_RUN, "the deadline passed before the request was sent")
 	}
-	endpoint, err := x.place()
+	endpoint, err := x.balancer.Pick(balance.PickInfo{Class: x.call.Class, Tried: x.tried, BodyBytes: x.call.BodyBytes})
 	if err != nil {
 		return nil, err
 	}
@@ -150,30 +148,6 @@
 	return endpoint, nil
 }
 
-// maxOffers bounds the gates that are asked to run a request at once, before it
-// waits at one of them. Within a region an offer costs a millisecond or two.
-const maxOffers = 3
-
-// place chooses the endpoint of the next attempt, and whether the request may wait
-// there.
-func (x *exchange) place() (*balance.Endpoint, error) {
-	info := balance.PickInfo{
-		Class:       x.call.Class,
-		Tried:       x.tried,
-		Busy:        x.busy,
-		BodyBytes:   x.call.BodyBytes,
-		AnswerBytes: x.route.answerBytes.mean(),
-	}
-	x.call.NoWait = false
-	placer, ok := x.balancer.(balance.Placer)
-	if !ok {
-		return x.balancer.Pick(info)
-	}
-	placement, err := placer.Place(info)
-	x.call.NoWait = !placement.Waits && len(x.busy) < maxOffers
-	return placement.Endpoint, err
-}
-
 // isRefusal reports whether a gate refused for a reason that may have passed
 // elsewhere only.
 func isRefusal(answer *wire.Answer) bool {
@@ -183,6 +157,10 @@
 // attempt sends the request once.
 func (x *exchange) attempt(ctx context.Context, endpoint *balance.Endpoint) *wire.Answer {
 	x.attempts++
+	if x.tried == nil {
+		x.tried = x.triedFew[:0]
+	}
+	x.tried = append(x.tried, endpoint.Instance)
 	x.call.Attempt = x.handler.ids.Attempt(endpoint.Incarnation)
 	begun := time.Now()
 	answer := x.send(ctx, endpoint)
@@ -193,23 +171,9 @@
 		answer.Load.Instance = endpoint.Instance
 	}
 	x.open.Bytes = max(x.call.BodyBytes, 0)
-	x.remember(endpoint, answer)
 	return answer
 }
 
-// remember notes where the request was refused or failed. A gate that was only
-// full may still let it wait.
-func (x *exchange) remember(endpoint *balance.Endpoint, answer *wire.Answer) {
-	if x.call.NoWait && answer.Kind == pb.ErrorKind_ERROR_KIND_OVERLOADED && !answer.Arrived {
-		x.busy = append(x.busy, endpoint.Instance)
-		return
-	}
-	if x.tried == nil {
-		x.tried = x.triedFew[:0]
-	}
-	x.tried = append(x.tried, endpoint.Instance)
-}
-
 // send sends the request to the endpoint's gate.
 func (x *exchange) send(ctx context.Context, endpoint *balance.Endpoint) *wire.Answer {
 	local := x.handler.options.Local
@@ -285,9 +249,6 @@
 	if answer.Arrived {
 		return x.attempts < maxRefusals && x.service.state.budget.Take()
 	}
-	if x.call.NoWait && answer.Kind == pb.ErrorKind_ERROR_KIND_OVERLOADED {
-		return x.attempts < maxRefusals
-	}
 	if answer.Kind == pb.ErrorKind_ERROR_KIND_OVERLOADED {
 		return x.attempts < x.maxAttempts() && x.service.state.budget.Take()
 	}
@@ -342,7 +303,5 @@
 		x.service.state.budget.Success()
 	}
 	x.w.Header()[x.handler.options.Headers.RequestID] = []string{x.requestID}
-	sent := wire.WriteAnswer(x.w, answer)
-	x.route.answerBytes.add(sent)
-	x.open.Bytes += sent
+	x.open.Bytes += wire.WriteAnswer(x.w, answer)
 }
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -57,8 +57,6 @@
 
 // route is one route of a service.
 type route struct {
-	// answerBytes is what its answers have taken.
-	answerBytes *sizes
 	// name of a request route; empty for a route of a service.
 	name       string
 	pathPrefix string
@@ -137,7 +135,6 @@
 
 func newRoute(from *pb.Route) route {
 	r := route{
-		answerBytes: &sizes{},
 		pathPrefix:  from.GetPathPrefix(),
 		methods:     from.GetMethods(),
 		idempotent:  from.Idempotent,
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -7,7 +7,6 @@
 	"syscall"
 	"time"
 
-	"github.com/egretfield/egretfield/internal/admission"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/wire"
@@ -55,11 +54,7 @@
 
 // slotOf is what a call asks the limiter for.
 func slotOf(call *wire.Call) slot {
-	offer := admission.OfferWait
-	if call.NoWait {
-		offer = admission.OfferNow
-	}
-	return slot{class: call.Class, route: call.Route, target: call.Target, deadline: call.Deadline, offer: offer}
+	return slot{class: call.Class, route: call.Route, target: call.Target, deadline: call.Deadline}
 }
 
 // run is a call that holds a slot.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -71,10 +71,6 @@
 	server   atomic.Pointer[guarded]
 	draining atomic.Bool
 	counts   counts
-	// healthPath is that of the backend server; nil or empty: none.
-	healthPath atomic.Pointer[string]
-	// loadAt is when the backend server last told its load, Unix nanoseconds.
-	loadAt atomic.Int64
 	// minSilence is the least silence of the server that breaks a connection.
 	minSilence time.Duration
 }
@@ -169,7 +165,6 @@
 // noteLoad takes what the backend server says of itself; nil: nothing.
 func (g *Gate) noteLoad(load *pb.LoadReport) {
 	if load != nil {
-		g.loadAt.Store(time.Now().UnixNano())
 		g.limiter.setSlowness(load.GetSlownessPercent())
 	}
 }
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -80,7 +80,6 @@
 	route    string
 	target   time.Time
 	deadline time.Time
-	offer    admission.Offer
 }
 
 // acquire takes a slot, waiting in the queue as long as the request can still be
@@ -127,7 +126,6 @@
 		Target:   s.target,
 		Deadline: s.deadline,
 		Work:     l.work.Expect(s.route, l.slowness),
-		Offer:    s.offer,
 	}
 	if request.Target.IsZero() {
 		request.Target = s.deadline
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -150,11 +150,7 @@
 func (n *Node) makePath(options Options) error {
 	meter := options.Metrics.Meter()
 	token := wire.PeerToken([]byte(n.settings.GetSharedKey()))
-	n.services = newServices(balance.Options{
-		Region:     n.settings.GetRegion(),
-		DataCentre: n.settings.GetDataCentre(),
-		Instance:   n.settings.GetInstance(),
-	}, n.members)
+	n.services = newServices(balance.Options{Region: n.settings.GetRegion()}, n.members)
 	n.suspects = quarantine.New(n.members, n.logger.Named("quarantine"))
 	n.gate = gate.New(gate.Options{
 		Instance:    n.settings.GetInstance(),
--- a/internal/node/evidence.go
+++ b/internal/node/evidence.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/member"
-	"github.com/egretfield/egretfield/internal/pb"
 )
 
 // reporting is a balancer that tells the membership of nodes that requests
@@ -21,22 +20,6 @@
 	r.Balancer.Done(result)
 }
 
-// Place implements balance.Placer.
-func (r *reporting) Place(info balance.PickInfo) (balance.Placement, error) {
-	if placer, ok := r.Balancer.(balance.Placer); ok {
-		return placer.Place(info)
-	}
-	endpoint, err := r.Balancer.Pick(info)
-	return balance.Placement{Endpoint: endpoint, Waits: true}, err
-}
-
-// Observe implements balance.Observer.
-func (r *reporting) Observe(report *pb.LoadReport) {
-	if observer, ok := r.Balancer.(balance.Observer); ok {
-		observer.Observe(report)
-	}
-}
-
 // Facts implements balance.Explainer.
 func (r *reporting) Facts() []balance.Facts {
 	if explainer, ok := r.Balancer.(balance.Explainer); ok {
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -71,7 +71,6 @@
 			n.logger.Warn("server", zap.Error(err))
 		}
 	}
-	n.news.Close()
 	n.members.Close()
 	if err := n.control.Close(); err != nil {
 		n.logger.Warn("control", zap.Error(err))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,7 +3,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -21,7 +20,6 @@
 	"github.com/egretfield/egretfield/internal/configlog"
 	"github.com/egretfield/egretfield/internal/entry"
 	"github.com/egretfield/egretfield/internal/gate"
-	"github.com/egretfield/egretfield/internal/loadnews"
 	"github.com/egretfield/egretfield/internal/member"
 	"github.com/egretfield/egretfield/internal/once"
 	"github.com/egretfield/egretfield/internal/pb"
@@ -93,7 +91,6 @@
 	suspects *quarantine.Table
 	receiver *announce.Receiver
 	drain    *drainer
-	news     *loadnews.Node
 
 	callerHTTP, gateHTTP, opsHTTP, announceHTTP *http.Server
 	// readyHTTP is nil without a platform.
@@ -116,7 +113,7 @@
 		return nil, err
 	}
 	steps := []func(Options) error{
-		n.makeControl, n.makeMembers, n.makeConfiguration, n.makeKeeper, n.makePath, n.makeNews, n.register, n.observe, n.makeServers,
+		n.makeControl, n.makeMembers, n.makeConfiguration, n.makeKeeper, n.makePath, n.register, n.observe, n.makeServers,
 	}
 	for _, step := range steps {
 		if err := step(options); err != nil {
@@ -166,17 +163,6 @@
 	})
 	n.members.SetServer(server)
 	n.limitQueue(n.follower.Current(), server.GetService())
-	n.gate.SetHealthPath(cmp.Or(server.GetHealthPath(), healthPathOf(n.follower.Current().GetConfig(), server.GetService())))
-}
-
-// healthPathOf is the health endpoint that a configuration names for a service.
-func healthPathOf(config *pb.Config, service string) string {
-	for _, configured := range config.GetServices() {
-		if configured.GetName() == service {
-			return configured.GetHealthPath()
-		}
-	}
-	return ""
 }
 
 // serverDown takes the backend server out of the choice of every node once it was
@@ -229,7 +215,6 @@
 	n.entry.SetRoutes(entry.NewRoutes(state.GetConfig(), state.GetPreset()))
 	n.limiter.SetLimits(budget.LimitsOf(config.BudgetOf(state)))
 	n.limitQueue(state, n.members.Self().GetService())
-	n.gate.SetHealthPath(healthPathOf(state.GetConfig(), n.members.Self().GetService()))
 	n.drain.setOperator(isDraining(state, n.settings.GetInstance()))
 }
 
@@ -279,9 +264,6 @@
 	}
 	group.Go(func() error { n.receiver.Run(ctx); return nil })
 	group.Go(func() error { n.drain.run(ctx); return nil })
-	group.Go(func() error { n.gate.Probe(ctx); return nil })
-	group.Go(func() error { n.news.Tell(ctx); return nil })
-	group.Go(n.news.Listen)
 	group.Go(func() error {
 		for {
 			select {
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -38,13 +38,6 @@
 	return (*s.byName.Load())[name].balancer
 }
 
-// observe hands a load report to the balancer of a service.
-func (s *services) observe(service string, report *pb.LoadReport) {
-	if observer, ok := s.balancer(service).(balance.Observer); ok {
-		observer.Observe(report)
-	}
-}
-
 // update gives every balancer the endpoints and the policy of this moment.
 func (s *services) update(state *pb.ConfigState, view *member.View) error {
 	s.mu.Lock()
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -29,8 +29,6 @@
 	Target time.Time
 	// Route names the kind of request; empty: none.
 	Route string
-	// NoWait: the gate runs the request at once or refuses it.
-	NoWait bool
 	// Caller is the service beside the node that took the request.
 	Caller string
 }
@@ -95,7 +93,7 @@
 	return &Answer{Kind: kind, Message: message}
 }
 
-const metaFields = 10
+const metaFields = 9
 
 // appendMeta writes the value of HeaderCall. The times left are in milliseconds.
 func appendMeta(buf []byte, m *Meta, left, untilTarget int64) []byte {
@@ -115,8 +113,6 @@
 	buf = append(buf, ' ')
 	buf = append(buf, nameOrNone(m.Caller)...)
 	buf = append(buf, ' ')
-	buf = strconv.AppendBool(buf, m.NoWait)
-	buf = append(buf, ' ')
 	return append(buf, nameOrNone(m.Route)...)
 }
 
@@ -178,8 +174,7 @@
 	depth, errDepth := strconv.ParseUint(fields[4], 10, 16)
 	fingerprint, errFingerprint := strconv.ParseUint(fields[5], 16, 64)
 	untilTarget, errTarget := strconv.ParseInt(fields[6], 10, 32)
-	noWait, errNoWait := strconv.ParseBool(fields[8])
-	if errNoWait != nil || errTarget != nil || errLeft != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
+	if errTarget != nil || errLeft != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
 		return Meta{}, false
 	}
 	return Meta{
@@ -191,7 +186,6 @@
 		Fingerprint: fingerprint,
 		Target:      now.Add(time.Duration(untilTarget) * time.Millisecond),
 		Caller:      nameOf(fields[7]),
-		NoWait:      noWait,
-		Route:       nameOf(fields[9]),
+		Route:       nameOf(fields[8]),
 	}, fields[0] != ""
 }
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -23,7 +23,7 @@
 		meta := Meta{
 			Attempt: id, RequestID: "r", Service: "s", Class: pb.Class_CLASS_CRITICAL, Idempotent: true,
 			Depth: 3, Deadline: now.Add(1500 * time.Millisecond), Fingerprint: 1 << 63,
-			Target: now.Add(400 * time.Millisecond), Route: "r-1", NoWait: true, Caller: "web",
+			Target: now.Add(400 * time.Millisecond), Route: "r-1", Caller: "web",
 		}
 		header := http.Header{
 			HeaderAttempt: {id.String()}, HeaderRequestID: {"r"}, HeaderCall: {string(appendMeta(nil, &meta, 1500, 400))},
