A drain that lasts refuses what still waits; a stop fits into the time allowed

What waits is now refused as not run after another notice and goes elsewhere. Cause of processes killed at the end of the grace time: the wait for requests took all of it and the rest came on top. A stopping node also keeps its listener open until the platform has noticed; consumers met closed ports before.

Still seen: two or three processes killed at the end of the grace time.

--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -135,13 +135,13 @@
 
 func newRoute(from *pb.Route) route {
 	r := route{
-		pathPrefix:  from.GetPathPrefix(),
-		methods:     from.GetMethods(),
-		idempotent:  from.Idempotent,
-		class:       from.GetClass(),
-		deadline:    time.Duration(from.GetDeadlineMs()) * time.Millisecond,
-		maxBody:     int64(from.GetMaxBodyBytes()),
-		requireKey:  from.GetRequireKey(),
+		pathPrefix: from.GetPathPrefix(),
+		methods:    from.GetMethods(),
+		idempotent: from.Idempotent,
+		class:      from.GetClass(),
+		deadline:   time.Duration(from.GetDeadlineMs()) * time.Millisecond,
+		maxBody:    int64(from.GetMaxBodyBytes()),
+		requireKey: from.GetRequireKey(),
 	}
 	if r.class == pb.Class_CLASS_UNSPECIFIED {
 		r.class = pb.Class_CLASS_NORMAL
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -140,6 +140,14 @@
 	}
 }
 
+// RefuseWaiting refuses the requests in the queue. They weren't run and may go to
+// another backend server.
+func (g *Gate) RefuseWaiting() {
+	if refused := g.limiter.refuseWaiting(pb.ErrorKind_ERROR_KIND_DRAINING); refused > 0 {
+		g.log.Info("waiting requests refused", zap.Int("requests", refused))
+	}
+}
+
 // Idle returns a channel that is closed once no request runs or waits.
 func (g *Gate) Idle() <-chan struct{} {
 	return g.limiter.whenIdle()
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -49,13 +49,27 @@
 	l.slots = slots
 	l.setLimitsLocked()
 	if slots == 0 {
-		for _, t := range l.queue.Clear() {
-			l.decideLocked(t, pb.ErrorKind_ERROR_KIND_NOT_READY)
-		}
+		l.refuseWaitingLocked(pb.ErrorKind_ERROR_KIND_NOT_READY)
 	}
 	l.grantLocked()
 }
 
+// refuseWaiting refuses the requests in the queue and returns their number.
+func (l *limiter) refuseWaiting(kind errkind.Kind) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer l.signalLocked()
+	return l.refuseWaitingLocked(kind)
+}
+
+func (l *limiter) refuseWaitingLocked(kind errkind.Kind) int {
+	waiting := l.queue.Clear()
+	for _, t := range waiting {
+		l.decideLocked(t, kind)
+	}
+	return len(waiting)
+}
+
 func (l *limiter) setLimitsLocked() {
 	l.queue.SetLimits(admission.Concurrency(l.slots), l.slots*l.queuePercent/100)
 }
--- a/internal/gate/limiter_test.go
+++ b/internal/gate/limiter_test.go
@@ -117,6 +117,19 @@
 			})
 			So(kind, ShouldEqual, pb.ErrorKind_ERROR_KIND_NOT_READY)
 		})
+		Convey("a drain that lasts refuses what still waits, and keeps what runs", func() {
+			var kind errkind.Kind
+			var report pb.LoadReport
+			run("drain", func(ctx context.Context, l *limiter) {
+				verdict := queueUp(ctx, l, normal, 15*time.Second)
+				l.refuseWaiting(pb.ErrorKind_ERROR_KIND_DRAINING)
+				kind = <-verdict
+				l.fill(&report)
+			})
+			So(kind, ShouldEqual, pb.ErrorKind_ERROR_KIND_DRAINING)
+			So(report.InFlight, ShouldEqual, 2)
+			So(report.Queued, ShouldEqual, 0)
+		})
 		Convey("idle is signalled when all have ended", func() {
 			before, after := true, false
 			run("idle", func(_ context.Context, l *limiter) {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -92,5 +92,8 @@
 			return
 		}
 		d.gate.SetDraining(d.wanted())
+		if d.wanted() && delay.Sleep(ctx, d.notice) && d.wanted() {
+			d.gate.RefuseWaiting()
+		}
 	}
 }
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -10,8 +10,13 @@
 	"github.com/egretfield/egretfield/internal/settings"
 )
 
-// serversTimeout bounds the end of the HTTP servers at a stop.
-const serversTimeout = 10 * time.Second
+// requestShare is the part of a stop's time that requests in flight have, in sixths.
+// The rest is for the news that the node is gone.
+const requestShare = 5
+
+// stopReserve is the part of a stop's time that is kept for closing connections,
+// one part in so many.
+const stopReserve = 20
 
 // outcomePoll is how often the entry's unfinished requests are counted.
 const outcomePoll = 20 * time.Millisecond
@@ -21,12 +26,15 @@
 func (n *Node) leave() {
 	n.logger.Info("leaving")
 	timeout := settings.Duration(n.settings.GetStopTimeout())
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	n.stopBy = time.Now().Add(timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout*requestShare/6)
 	defer cancel()
 	n.drain.stop()
 	n.entry.SetStopping()
-	delay.Sleep(ctx, settings.Duration(n.settings.GetDrainNotice()))
+	notice := settings.Duration(n.settings.GetDrainNotice())
+	delay.Sleep(ctx, notice)
 	n.gate.SetDraining(true)
+	delay.Sleep(ctx, settings.Duration(n.settings.GetCallerNotice())-notice)
 	if err := n.callerHTTP.Shutdown(ctx); err != nil {
 		n.logger.Warn("callers' requests still running", zap.Error(err))
 	}
@@ -35,7 +43,9 @@
 	}
 	n.awaitOutcomes(ctx)
 	n.handOver()
-	n.members.Leave(ctx)
+	last, cancelLast := context.WithDeadline(context.Background(), n.stopBy.Add(-timeout/stopReserve))
+	defer cancelLast()
+	n.members.Leave(last)
 	n.logger.Info("left")
 }
 
@@ -64,11 +74,12 @@
 
 // stopServers ends every server and client of the node.
 func (n *Node) stopServers() {
-	ctx, cancel := context.WithTimeout(context.Background(), serversTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), n.stopBy)
 	defer cancel()
 	for server := range n.httpServers() {
 		if err := server.Shutdown(ctx); err != nil {
-			n.logger.Warn("server", zap.Error(err))
+			n.logger.Warn("server closed with connections in use", zap.Error(err))
+			_ = server.Close() // its connections are given up
 		}
 	}
 	n.members.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,8 @@
 	handoverTimeout = 10 * time.Second
 	// readHeaderTimeout bounds the arrival of a request's headers.
 	readHeaderTimeout = 5 * time.Second
+	// failedStop bounds the end of the servers after one of them failed.
+	failedStop = 10 * time.Second
 	// idleTimeout closes connections of callers and nodes without requests.
 	idleTimeout = 120 * time.Second
 	// maxHeaderBytes bounds the headers of a request.
@@ -96,6 +98,9 @@
 	// readyHTTP is nil without a platform.
 	readyHTTP *http.Server
 
+	// stopBy is when a stop must be over.
+	stopBy time.Time
+
 	rebuild sync.Mutex
 	// stale says whether the balancers lack the last configuration.
 	stale bool
@@ -240,6 +245,7 @@
 	case <-ctx.Done():
 		n.leave()
 	case <-background.Done():
+		n.stopBy = time.Now().Add(failedStop)
 	}
 	cancel()
 	n.stopServers()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -67,6 +67,7 @@
 	}
 	c.duration("drain_notice", settings.GetDrainNotice())
 	c.duration("stop_timeout", settings.GetStopTimeout())
+	c.duration("caller_notice", settings.GetCallerNotice())
 	if !strings.HasPrefix(settings.GetMetricsPath(), "/") {
 		c.addf("metrics_path", "got %q, expected a path that starts with /", settings.GetMetricsPath())
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,5 +85,6 @@
 	defaults.Set(&settings.MaxProcs, DefaultMaxProcs)
 	defaults.Set(&settings.DrainNotice, DefaultDrainNotice)
 	defaults.Set(&settings.StopTimeout, DefaultStopTimeout)
+	defaults.Set(&settings.CallerNotice, settings.GetDrainNotice())
 	defaults.Set(&settings.MetricsPath, DefaultMetricsPath)
 }
