--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -15,7 +15,7 @@
 const requestShare = 5
 
 // stopReserve is the part of a stop's time that is kept for closing connections,
-// one part in so many.
+// and that for the end of the process, one part in so many.
 const stopReserve = 20
 
 // outcomePoll is how often the entry's unfinished requests are counted.
@@ -26,7 +26,7 @@
 func (n *Node) leave() {
 	n.logger.Info("leaving")
 	timeout := settings.Duration(n.settings.GetStopTimeout())
-	n.stopBy = time.Now().Add(timeout)
+	n.stopBy = time.Now().Add(timeout - timeout/stopReserve)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout*requestShare/6)
 	defer cancel()
 	n.drain.stop()
