--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/egretfield/egretfield/internal/peer"
 	"github.com/egretfield/egretfield/internal/platformlog"
 	"github.com/egretfield/egretfield/internal/quarantine"
+	"github.com/egretfield/egretfield/internal/settings"
 	"github.com/egretfield/egretfield/internal/telemetry"
 	"github.com/egretfield/egretfield/internal/wire"
 )
@@ -108,6 +109,7 @@
 
 // New opens the node's sockets and makes its parts. Run starts them.
 func New(options Options) (*Node, error) {
+	settings.Fill(options.Settings)
 	n := &Node{settings: options.Settings, started: time.Now(), platform: options.Platform, level: options.Level}
 	n.logger = telemetry.WithPosition(options.Logger, telemetry.Position{
 		ConfigOffset: n.configOffset,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,7 +46,7 @@
 	settings := &pb.NodeSettings{}
 	document, lines := yamlpb.Unmarshal(name, data, settings)
 	if len(lines) == 0 {
-		fill(settings)
+		Fill(settings)
 		for _, found := range check(settings) {
 			lines = append(lines, document.Locate(found.path, found.path+": "+found.message))
 		}
@@ -66,8 +66,8 @@
 	return parsed
 }
 
-// fill sets every setting that has a default and was left out.
-func fill(settings *pb.NodeSettings) {
+// Fill sets every setting that has a default and was left out.
+func Fill(settings *pb.NodeSettings) {
 	for _, address := range []*string{
 		&settings.CallerAddress,
 		&settings.GateAddress,
