Store calls: nodes that don't read the configuration trust readers that wait there

Cause: a reader's read waits 25 s on the platform, and its news of the log's end grew old meanwhile, so that every other node read for itself after 4 s; and a node that starts knows no other and waited on the store like a reader.

--- a/internal/configlog/follow_log.go
+++ b/internal/configlog/follow_log.go
@@ -47,6 +47,13 @@
 	return nil
 }
 
+// setWaiting notes whether a read waits for a record.
+func (f *Follower) setWaiting(waiting bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waiting = waiting
+}
+
 // readWait is how long a read waits for a record.
 func (f *Follower) readWait() time.Duration {
 	if f.options.ReadWait > 0 {
@@ -66,13 +73,18 @@
 	if err := f.findTarget(ctx); err != nil {
 		return err
 	}
+	if !f.direct() && f.staleness() < f.staleAfter() {
+		return nil // the newest configuration came with the log's limits
+	}
 	wait := f.readWait()
 	if !f.direct() {
 		wait = 0
 	}
 	from := f.State().FoldedThrough + 1
 	started := time.Now()
+	f.setWaiting(wait > 0 && f.logHealthy())
 	records, err := f.options.Log.Read(ctx, platformlog.ConfigStream, from, readBatch, wait)
+	f.setWaiting(false)
 	if errors.Is(err, platformlog.ErrTrimmed) {
 		return f.startFromSnapshot(ctx)
 	}
@@ -124,10 +136,12 @@
 // adoptNewest starts the fold at the newest configuration that a log with keys
 // holds, unless the state is newer.
 func (f *Follower) adoptNewest(ctx context.Context, log platformlog.Keyed) (platformlog.Bounds, error) {
+	started := time.Now()
 	records, bounds, err := log.Newest(ctx, platformlog.ConfigStream)
 	if err != nil {
 		return bounds, err
 	}
+	defer f.noteAtEnd(started)
 	if state, ok := startFromNewest(records, bounds); ok {
 		f.adopt(state, fromLog)
 	}
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -33,6 +33,9 @@
 	Direct func() bool
 	// ReadWait is how long a read of the log waits for a record. Zero: 2 s.
 	ReadWait time.Duration
+	// StaleAfter is how long a node that leaves the log to peers does without news
+	// of its end. Zero: 4 s, which is also the least.
+	StaleAfter time.Duration
 	// Logger gets a line for each change of state. Nil: none.
 	Logger *zap.Logger
 	// Meter counts. Nil: none.
@@ -61,6 +64,7 @@
 	target    int64 // offset to fold through before serving; -1: unknown
 	logErr    error
 	logRead   time.Time
+	waiting   bool      // a read waits for a record
 	atEnd     time.Time // last time that folded was known to be the log's end
 	confirmed time.Time // last time that the log or a peer had nothing newer
 	inSince   time.Time
--- a/internal/configlog/freshness.go
+++ b/internal/configlog/freshness.go
@@ -14,6 +14,9 @@
 	staleAfter = 4 * time.Second
 	// staleSpread spreads the reads of nodes that lost their readers together.
 	staleSpread = 500 * time.Millisecond
+	// waitProof is how long ago the connection of a read that waits was alive for
+	// sure: clients of the log probe it within that time.
+	waitProof = 3 * time.Second
 	// turnCheck is how often such a node looks whether it became a reader.
 	turnCheck = time.Second
 )
@@ -22,7 +25,7 @@
 // directly or the last read failed, otherwise when no peer has known the end of
 // the log for a while. It returns false when ctx ends.
 func (f *Follower) awaitTurn(ctx context.Context) bool {
-	limit := staleAfter + f.jitter.of(staleSpread)
+	limit := f.staleAfter() + f.jitter.of(staleSpread)
 	for ctx.Err() == nil {
 		left := limit - f.staleness()
 		if f.direct() || !f.logHealthy() || left <= 0 {
@@ -41,6 +44,12 @@
 	return false
 }
 
+// staleAfter is the age of the last news of the log's end past which this node
+// reads the log itself.
+func (f *Follower) staleAfter() time.Duration {
+	return max(staleAfter, f.options.StaleAfter)
+}
+
 // readSoon makes a node that leaves the log to peers read it now.
 func (f *Follower) readSoon() {
 	select {
@@ -76,12 +85,18 @@
 	}
 }
 
-// atEndAgeMs is the age that goes into a digest. The caller holds mu.
+// atEndAgeMs is the age that goes into a digest. While a read waits for a record
+// the log has none, as far as the connection is known to be alive. The caller holds
+// mu.
 func (f *Follower) atEndAgeMs(now time.Time) uint32 {
 	if f.atEnd.IsZero() {
 		return 0
 	}
-	age := now.Sub(f.atEnd).Milliseconds() + 1
+	elapsed := now.Sub(f.atEnd)
+	if f.waiting {
+		elapsed = min(elapsed, waitProof)
+	}
+	age := elapsed.Milliseconds() + 1
 	return uint32(min(max(age, 1), math.MaxUint32))
 }
 
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -106,14 +106,15 @@
 // makeConfiguration makes the follower of the configuration stream.
 func (n *Node) makeConfiguration(options Options) error {
 	n.follower = configlog.NewFollower(configlog.Options{
-		Name:      n.settings.GetInstance(),
-		Log:       n.log,
-		Peers:     n.client,
-		Addresses: n.peerAddresses,
-		Direct:    n.readsConfiguration,
-		ReadWait:  n.configurationWait(),
-		Logger:    n.logger.Named("config"),
-		Meter:     options.Metrics.Meter(),
+		Name:       n.settings.GetInstance(),
+		Log:        n.log,
+		Peers:      n.client,
+		Addresses:  n.peerAddresses,
+		Direct:     n.readsConfiguration,
+		ReadWait:   n.configurationWait(),
+		StaleAfter: n.configurationWait(),
+		Logger:     n.logger.Named("config"),
+		Meter:      options.Metrics.Meter(),
 	})
 	if n.platform != nil {
 		return nil // the store keeps the newest configuration for good
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -35,6 +35,9 @@
 // readsConfiguration says whether this node is one of its data centre's readers
 // of the configuration stream.
 func (n *Node) readsConfiguration() bool {
+	if n.platform != nil && !n.members.Joined() {
+		return false // it has read the newest one, and calls of the store are paid
+	}
 	var others []string
 	for _, m := range n.members.View().Members {
 		alive := m.GetStatus() == pb.MemberStatus_MEMBER_STATUS_ALIVE
