A line for each request, refusal and failure at a backend server, bounded and never blocking; latency histogram

Lines are kept apart for successes and failures, 50 and 200 a second at the entry, 100 at the gate; what is left out is counted. Logs go to standard output through a buffer that drops and counts.

--- a/cmd/egretnode/main.go
+++ b/cmd/egretnode/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime"
@@ -59,7 +60,9 @@
 	if err != nil || checkOnly {
 		return err
 	}
-	n, err := newNode(loaded)
+	output := telemetry.NewBoundedWriter(os.Stdout)
+	defer output.Close()
+	n, err := newNode(loaded, output)
 	if err != nil {
 		return err
 	}
@@ -90,11 +93,11 @@
 }
 
 // newNode sets up the process and makes the node.
-func newNode(loaded *pb.NodeSettings) (*node.Node, error) {
+func newNode(loaded *pb.NodeSettings, output io.Writer) (*node.Node, error) {
 	runtime.GOMAXPROCS(int(loaded.GetMaxProcs()))
 	debug.SetGCPercent(int(loaded.GetGcPercent()))
 	debug.SetMemoryLimit(int64(loaded.GetMemoryLimitMib()) << 20)
-	logger, level, err := telemetry.NewLogger(os.Stdout, loaded.GetLogFormat(), loaded.GetLogLevel())
+	logger, level, err := telemetry.NewLogger(output, loaded.GetLogFormat(), loaded.GetLogLevel())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,7 @@
 	held    atomic.Int64
 	routes  atomic.Pointer[Routes]
 	metrics metrics
+	tracer  tracer
 
 	// stopping: callers are asked to go to another node.
 	stopping atomic.Bool
@@ -95,6 +96,7 @@
 		ids:     wire.NewIDs(),
 		client:  wire.NewClient(options.Client),
 		states:  make(map[string]*serviceState),
+		tracer:  newTracer(options.Log),
 	}
 	h.register(options.Meter)
 	return h
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -43,6 +43,7 @@
 	tried    []string
 	triedFew [DefaultMaxAttempts]string // backs tried
 	attempts int
+	trace    []tried
 	failures int
 	// doubt is the answer of an attempt that may have run and was followed by
 	// another; nil: none did.
@@ -171,6 +172,7 @@
 		answer.Load.Instance = endpoint.Instance
 	}
 	x.open.Bytes = max(x.call.BodyBytes, 0)
+	x.noteAttempt(endpoint, answer)
 	return answer
 }
 
@@ -292,6 +294,7 @@
 // write writes the final answer to the caller.
 func (x *exchange) write(answer *wire.Answer) {
 	x.count(answer)
+	x.traceRequest(answer)
 	if x.unread() || x.handler.stopping.Load() {
 		x.w.Header()["Connection"] = []string{"close"}
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -34,6 +34,8 @@
 	unfinished       atomic.Int64
 	rejected         atomic.Int64
 	crossRegionBytes atomic.Int64
+	untraced         atomic.Int64
+	latency          metric.Float64Histogram
 	added            metric.Float64Histogram
 }
 
@@ -49,6 +51,9 @@
 		added := time.Since(x.begun) - answer.ServerTime
 		x.handler.metrics.added.Record(context.Background(), added.Seconds(), counts.label)
 	}
+	if x.handler.metrics.latency != nil {
+		x.handler.metrics.latency.Record(context.Background(), time.Since(x.begun).Seconds(), counts.label)
+	}
 }
 
 // countRegion counts the bytes of an attempt in another region.
@@ -61,6 +66,10 @@
 // addedBounds are the buckets of the time added, seconds.
 var addedBounds = []float64{.0001, .0002, .00034, .0005, .001, .002, .005, .01, .05, .2, 1}
 
+// latencyBounds are the buckets of the answers' times, seconds: from an answer
+// of the same machine to the longest usual time budget.
+var latencyBounds = []float64{0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15}
+
 // register makes the entry's metrics read its counters.
 func (h *Handler) register(meter metric.Meter) {
 	if meter == nil {
@@ -69,6 +78,9 @@
 	h.metrics.added, _ = meter.Float64Histogram("egretfield.entry.time_added", metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(addedBounds...),
 		metric.WithDescription("Time to the answer's header besides the backend server's."))
+	h.metrics.latency, _ = meter.Float64Histogram("egretfield.entry.latency", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(latencyBounds...),
+		metric.WithDescription("Time from a request's header to its answer, by service."))
 	answers, _ := meter.Int64ObservableCounter("egretfield.entry.answers", metric.WithDescription("Answers by service and error kind; \"none\" is a backend server's own."))
 	plain := []struct {
 		name, help string
@@ -80,6 +92,7 @@
 		{"egretfield.entry.recovered_answers", "Lost answers fetched over a control call.", h.metrics.recovered.Load},
 		{"egretfield.entry.unfinished_keys", "Outcomes of keys that their keeper didn't record.", h.metrics.unfinished.Load},
 		{"egretfield.entry.cross_region_bytes", "Bytes of bodies sent to and received from other regions, by attempt.", h.metrics.crossRegionBytes.Load},
+		{"egretfield.entry.untraced", "Lines about requests left out.", h.metrics.untraced.Load},
 		{"egretfield.entry.attempt_mismatches", "Answers that carried another attempt's id.", h.client.Mismatches},
 	}
 	instruments := []metric.Observable{answers}
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -40,6 +40,7 @@
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		refusal := wire.Fail(kind, "the request wasn't given a slot")
 		refusal.RetryAfter = g.limiter.retryAfter()
+		g.traceRefusal(call, refusal)
 		return refusal
 	}
 	if current := g.server.Load(); current != server {
@@ -141,6 +142,7 @@
 	r.end(state, nil, ending{failed: ctx.Err() == nil})
 	answer := wire.Fail(kind, "the backend server gave no answer")
 	answer.Crashed = crashed
+	r.gate.traceFailure(r, answer, err)
 	return answer
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,6 +10,7 @@
 
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
@@ -71,6 +72,7 @@
 	server   atomic.Pointer[guarded]
 	draining atomic.Bool
 	counts   counts
+	traces   *rate.Limiter
 	// minSilence is the least silence of the server that breaks a connection.
 	minSilence time.Duration
 }
@@ -84,6 +86,7 @@
 		options: options,
 		log:     options.Log,
 		limiter: newLimiter(),
+		traces:  newTraceLimiter(),
 
 		minSilence: minSilence,
 		attempts:   newAttempts(options.Incarnation, options.MaxAttempts, options.MaxAnswerBytes),
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -19,6 +19,8 @@
 	crashes atomic.Int64
 	silent  atomic.Int64
 	shed    atomic.Int64
+	// untraced are the lines about requests left out.
+	untraced atomic.Int64
 }
 
 func (c *counts) answer(kind errkind.Kind) {
@@ -33,17 +35,21 @@
 	answers, _ := meter.Int64ObservableCounter("egretfield.gate.answers", metric.WithDescription("Answers of the gate by error kind; \"none\" is the backend server's own."))
 	crashes, _ := meter.Int64ObservableCounter("egretfield.gate.crashes", metric.WithDescription("Crashes of the backend server with requests in flight."))
 	silent, _ := meter.Int64ObservableCounter("egretfield.gate.silent_connections", metric.WithDescription("Connections to the backend server given up as silent."))
+	shed, _ := meter.Int64ObservableCounter("egretfield.gate.shed", metric.WithDescription("Requests that the backend server itself turned away."))
+	untraced, _ := meter.Int64ObservableCounter("egretfield.gate.untraced", metric.WithDescription("Lines about requests left out."))
 	running, _ := meter.Int64ObservableGauge("egretfield.gate.running", metric.WithDescription("Requests that hold a slot."))
 	queued, _ := meter.Int64ObservableGauge("egretfield.gate.queued", metric.WithDescription("Requests that wait for a slot."))
 	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g.observeAnswers(o, answers)
 		o.ObserveInt64(crashes, g.counts.crashes.Load())
 		o.ObserveInt64(silent, g.counts.silent.Load())
+		o.ObserveInt64(shed, g.counts.shed.Load())
+		o.ObserveInt64(untraced, g.counts.untraced.Load())
 		report := g.Report()
 		o.ObserveInt64(running, int64(report.InFlight))
 		o.ObserveInt64(queued, int64(report.Queued))
 		return nil
-	}, answers, crashes, silent, running, queued)
+	}, answers, crashes, silent, shed, untraced, running, queued)
 	if err != nil {
 		g.log.Error("gate metrics not registered", zap.Error(err))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/egretfield/egretfield/internal/quarantine"
 	"github.com/egretfield/egretfield/internal/settings"
 	"github.com/egretfield/egretfield/internal/telemetry"
+	"github.com/egretfield/egretfield/internal/version"
 	"github.com/egretfield/egretfield/internal/wire"
 )
 
@@ -241,6 +242,9 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, background := errgroup.WithContext(background)
+	n.logger.Info("started", zap.String("version", version.Version), zap.String("instance", n.settings.GetInstance()),
+		zap.String("region", n.settings.GetRegion()), zap.String("data_centre", n.settings.GetDataCentre()),
+		zap.Any("addresses", n.Addresses()))
 	n.startParts(background, group)
 	n.startServers(group)
 	select {
@@ -251,6 +255,7 @@
 	}
 	cancel()
 	n.stopServers()
+	n.logger.Info("stopped", zap.Duration("ran", time.Since(n.started)))
 	err := group.Wait()
 	if errors.Is(err, context.Canceled) {
 		return nil
