--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -226,7 +226,7 @@
 	if !x.call.Idempotent || x.call.Depth > 0 || x.attempts >= x.maxAttempts() {
 		return false
 	}
-	if !isFailure(answer) {
+	if !isFailure(answer) || !x.hasTimeToRepeat() {
 		return false
 	}
 	if answer.Lost {
@@ -236,6 +236,16 @@
 	return x.failures <= maxFailures && x.service.state.budget.Take()
 }
 
+// repeatShare is the part of the time that the failed attempt took that a repeat
+// must have left, one part in so many. A repeat with less hardly ever succeeds and
+// takes a slot and a retry from others.
+const repeatShare = 4
+
+// hasTimeToRepeat reports whether a repeat could still be answered in time.
+func (x *exchange) hasTimeToRepeat() bool {
+	return time.Until(x.call.Deadline) > x.open.Latency/repeatShare
+}
+
 // maxAttempts is the greatest number of attempts that may run.
 func (x *exchange) maxAttempts() int {
 	if x.route.maxAttempts > 0 {
