--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
@@ -69,8 +70,9 @@
 	metrics metrics
 	tracer  tracer
 
-	// stopping: callers are asked to go to another node.
-	stopping atomic.Bool
+	// stopBy is when every request must be answered, since the node stops; nil: it
+	// doesn't.
+	stopBy atomic.Pointer[time.Time]
 	// running counts exchanges and reports to keepers.
 	running atomic.Int64
 
@@ -132,9 +134,10 @@
 }
 
 // SetStopping makes every answer ask its caller to use another connection.
-// Requests that still come are served.
-func (h *Handler) SetStopping() {
-	h.stopping.Store(true)
+// Requests that still come are served, but not beyond by: an answer in time, even
+// a refusal, is worth more to a caller than a connection that is cut.
+func (h *Handler) SetStopping(by time.Time) {
+	h.stopBy.Store(&by)
 }
 
 // Close closes the idle connections to gates.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -305,7 +305,7 @@
 func (x *exchange) write(answer *wire.Answer) {
 	x.count(answer)
 	x.traceRequest(answer)
-	if x.unread() || x.handler.stopping.Load() {
+	if x.unread() || x.handler.stopBy.Load() != nil {
 		x.w.Header()["Connection"] = []string{"close"}
 	}
 	if answer.Kind != 0 {
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -191,6 +191,9 @@
 		timeout = min(timeout, x.route.timeout)
 	}
 	x.call.Deadline = x.begun.Add(timeout)
+	if by := x.handler.stopBy.Load(); by != nil && by.Before(x.call.Deadline) {
+		x.call.Deadline = *by
+	}
 	x.call.Target = x.call.Deadline
 	if x.route.target > 0 {
 		x.call.Target = x.begun.Add(min(timeout, x.route.target))
--- a/internal/entry/request_routes_test.go
+++ b/internal/entry/request_routes_test.go
@@ -64,6 +64,13 @@
 			So(ask(c, "a.example", "/x/y/1"), ShouldEqual, http.StatusGatewayTimeout)
 			So(time.Since(begun), ShouldBeBetween, 250*time.Millisecond, 800*time.Millisecond)
 		})
+		Convey("a node that stops answers those who still come before it is gone", func() {
+			server.answer = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+			c.entry.SetStopping(time.Now().Add(100 * time.Millisecond))
+			begun := time.Now()
+			So(ask(c, "a.example", "/x/y/1"), ShouldEqual, http.StatusGatewayTimeout)
+			So(time.Since(begun), ShouldBeLessThan, 250*time.Millisecond)
+		})
 		Convey("a failure just before the deadline isn't repeated in vain", func() {
 			second := &counting{answer: status(http.StatusOK)}
 			c.addGate(1, second)
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -30,7 +30,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout*requestShare/6)
 	defer cancel()
 	n.drain.stop()
-	n.entry.SetStopping()
+	if deadline, ok := ctx.Deadline(); ok {
+		n.entry.SetStopping(deadline)
+	}
 	notice := settings.Duration(n.settings.GetDrainNotice())
 	delay.Sleep(ctx, notice)
 	n.gate.SetDraining(true)
