--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -10,9 +10,15 @@
 	"github.com/egretfield/egretfield/internal/settings"
 )
 
-// requestShare is the part of a stop's time that requests in flight have, in sixths.
-// The rest is for the news that the node is gone.
-const requestShare = 5
+// requestPercent is the part of a stop's time that requests in flight have. A request
+// that is broken off before the last sixth of it counts as lost by the stop, and
+// deadlines are cut by the way to the backend server on top.
+const requestPercent = 90
+
+// requestTime is the time that requests in flight have when a stop may take timeout.
+func requestTime(timeout time.Duration) time.Duration {
+	return timeout * requestPercent / 100
+}
 
 // stopReserve is the part of a stop's time that is kept for closing connections,
 // and that for the end of the process, one part in so many.
@@ -27,7 +33,7 @@
 	n.logger.Info("leaving")
 	timeout := settings.Duration(n.settings.GetStopTimeout())
 	n.stopBy = time.Now().Add(timeout - timeout/stopReserve)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout*requestShare/6)
+	ctx, cancel := context.WithTimeout(context.Background(), requestTime(timeout))
 	defer cancel()
 	n.drain.stop()
 	if deadline, ok := ctx.Deadline(); ok {
