Gates know the slow moments of a shared machine and begin nothing long in them

The gate took the slowness from the last answer and expected six tenths of it to last; it began requests in slow moments and so spent a slot four times as long.

Change: the slowness counts fully and only at the start; the gate asks the health endpoint when the last report is older than 20 ms and the speed varies; a request whose extra time is longer than the moment is expected to last waits for its end.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -15,7 +15,7 @@
 	Target time.Time
 	// Deadline is when the caller gives up.
 	Deadline time.Time
-	// Work is the time that the backend server is expected to take.
+	// Work is the time that the backend server takes at its usual speed.
 	Work time.Duration
 }
 
@@ -27,6 +27,13 @@
 // target.
 func (r *Request) meetsTarget(start time.Time) bool { return !start.Add(r.Work).After(r.Target) }
 
+// isBetterLater says whether the request is expected to be answered sooner if it
+// waits for the end of a slow moment.
+func (r *Request) isBetterLater(now time.Time, m Moment) bool {
+	extra := time.Duration(float64(r.Work) * (m.Stretch - 1))
+	return extra > m.Relief && now.Add(m.Relief).Before(r.latestStart())
+}
+
 // Ticket is a request in the queue.
 type Ticket struct {
 	Request
@@ -57,6 +64,7 @@
 	limit   int
 	room    int
 	hold    time.Duration
+	moment  Moment
 	running int
 	waiting []*Ticket
 	arrived uint64
@@ -69,6 +77,9 @@
 // SetHold sets the mean time that a request holds a slot.
 func (q *Queue) SetHold(hold time.Duration) { q.hold = hold }
 
+// SetMoment sets how fast the server works now.
+func (q *Queue) SetMoment(m Moment) { q.moment = m }
+
 // Limit is the number of requests that run at once.
 func (q *Queue) Limit() int { return q.limit }
 
@@ -81,7 +92,7 @@
 // Arrive decides on a request. It returns the ticket of one that waits, and the
 // ticket that was pushed out to make room for it, if any.
 func (q *Queue) Arrive(now time.Time, r Request) (verdict Verdict, ticket, evicted *Ticket) {
-	if q.running < q.limit && len(q.waiting) == 0 {
+	if q.running < q.limit && len(q.waiting) == 0 && !r.isBetterLater(now, q.moment) {
 		q.running++
 		return Granted, nil, nil
 	}
@@ -111,30 +122,36 @@
 
 // expectedWait is the time until the slots have served what goes before t.
 func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
-	ahead := 1
+	ahead := 0
 	for _, other := range q.waiting {
 		if q.before(now, other, t) {
 			ahead++
 		}
 	}
-	return q.waitFor(ahead)
-}
-
-func (q *Queue) waitFor(ahead int) time.Duration {
-	return q.hold * time.Duration(ahead) / time.Duration(max(q.limit, 1))
+	wait := q.waitBehind(ahead)
+	if t.isBetterLater(now, q.moment) {
+		wait = max(wait, q.moment.Relief)
+	}
+	return wait
 }
 
-// ExpectedWait is the time that one more request would wait behind all others.
-func (q *Queue) ExpectedWait() time.Duration {
-	if q.running < q.limit && len(q.waiting) == 0 {
+// waitBehind is the time until a slot is free for a request that goes after ahead
+// waiting ones.
+func (q *Queue) waitBehind(ahead int) time.Duration {
+	served := ahead + 1 - max(q.limit-q.running, 0)
+	if served <= 0 {
 		return 0
 	}
-	return q.waitFor(len(q.waiting) + 1)
+	return q.hold * time.Duration(served) / time.Duration(max(q.limit, 1))
 }
 
+// ExpectedWait is the time that one more request would wait behind all others.
+func (q *Queue) ExpectedWait() time.Duration { return q.waitBehind(len(q.waiting)) }
+
 // before says whether a goes before b: the more important, then a request that can
-// still meet its target before one that can't, then the one whose target is next. Short calls that other requests wait for have near targets, so they pass
-// the long ones that hold a slot elsewhere meanwhile.
+// still meet its target before one that can't, then the one whose target is next.
+// Short calls that other requests wait for have near targets, so they pass the long
+// ones that hold a slot elsewhere meanwhile.
 func (q *Queue) before(now time.Time, a, b *Ticket) bool {
 	if a.Class != b.Class {
 		return a.Class > b.Class
@@ -148,10 +165,14 @@
 	return a.arrival < b.arrival
 }
 
-// first returns the ticket that goes before all others; nil: none waits.
+// first returns the ticket that goes before all others that should begin now; nil:
+// none should.
 func (q *Queue) first(now time.Time) *Ticket {
 	var best *Ticket
 	for _, t := range q.waiting {
+		if t.isBetterLater(now, q.moment) {
+			continue
+		}
 		if best == nil || q.before(now, t, best) {
 			best = t
 		}
@@ -159,6 +180,15 @@
 	return best
 }
 
+// Held is the number of requests that wait for the end of a slow moment though a
+// slot is free.
+func (q *Queue) Held() int {
+	if q.running >= q.limit {
+		return 0
+	}
+	return len(q.waiting)
+}
+
 // least returns the ticket of the lowest class that goes after all others of it;
 // nil: none waits.
 func (q *Queue) least(now time.Time) *Ticket {
@@ -175,7 +205,7 @@
 func (q *Queue) Release() { q.running-- }
 
 // Next gives a free slot to a waiting request. It returns nil when no slot is
-// free or nobody waits.
+// free or nobody should begin now.
 func (q *Queue) Next(now time.Time) *Ticket {
 	if q.running >= q.limit {
 		return nil
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -97,10 +97,11 @@
 	Convey("A slow moment of the machine doesn't make the route look long", t, func() {
 		w := &Work{}
 		for range 50 {
-			w.Add("r", 100*time.Millisecond, 100)
-			w.Add("r", 280*time.Millisecond, 400)
+			w.Add("r", 100*time.Millisecond, 1)
+			w.Add("r", 400*time.Millisecond, 4)
 		}
-		So(w.Expect("r", 100), ShouldAlmostEqual, 100*time.Millisecond, time.Millisecond)
-		So(w.Expect("r", 400), ShouldAlmostEqual, 280*time.Millisecond, 3*time.Millisecond)
+		So(w.Expect("r"), ShouldAlmostEqual, 100*time.Millisecond, time.Millisecond)
+		So(w.Usual(), ShouldAlmostEqual, 100*time.Millisecond, time.Millisecond)
+		So(w.Held(), ShouldBeBetween, 100*time.Millisecond, 400*time.Millisecond)
 	})
 }
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -45,6 +45,16 @@
 	return filled
 }
 
+// HealthPathOf returns the path of a service's health endpoint; empty: none.
+func HealthPathOf(config *pb.Config, service string) string {
+	for _, s := range config.GetServices() {
+		if s.GetName() == service {
+			return s.GetHealthPath()
+		}
+	}
+	return ""
+}
+
 func fillPolicy(policy *pb.Policy) {
 	defaults.Set(&policy.Balancer, DefaultBalancer)
 	defaults.Set(&policy.RetryBudgetPercent, DefaultRetryBudgetPercent)
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -36,6 +36,7 @@
 	if kind := g.attempts.begin(call.Attempt); kind != 0 {
 		return wire.Fail(kind, "the attempt came too late")
 	}
+	g.askServer(ctx, server, startAge)
 	if kind := g.limiter.acquire(ctx, slotOf(call)); kind != 0 {
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		refusal := wire.Fail(kind, "the request wasn't given a slot")
@@ -48,7 +49,7 @@
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		return wire.Fail(pb.ErrorKind_ERROR_KIND_NOT_READY, "the backend server was replaced")
 	}
-	r := &run{gate: g, server: server, call: call, begun: time.Now()}
+	r := &run{gate: g, server: server, call: call, begun: time.Now(), stretch: g.limiter.stretch()}
 	server.crash.enter(call.Fingerprint)
 	return r.do(ctx)
 }
@@ -64,6 +65,8 @@
 	server *guarded
 	call   *wire.Call
 	begun  time.Time
+	// stretch is the factor on the usual time of requests that began with this one.
+	stretch float64
 	// kept collects a copy of the answer; nil: none is kept.
 	kept *pb.StoredAnswer
 }
@@ -187,6 +190,6 @@
 func (r *run) end(state pb.AttemptState, answer *pb.StoredAnswer, how ending) {
 	r.gate.attempts.end(r.call.Attempt, state, answer)
 	r.server.crash.leave(r.call.Fingerprint)
-	how.route, how.held = r.call.Route, time.Since(r.begun)
+	how.route, how.held, how.stretch = r.call.Route, time.Since(r.begun), r.stretch
 	r.gate.limiter.release(how)
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -58,6 +58,7 @@
 type guarded struct {
 	Server
 	client *wire.Client
+	health *healthProbe
 	crash  crashWatch
 	// down: the server was found dead.
 	down atomic.Bool
@@ -75,6 +76,10 @@
 	traces   *rate.Limiter
 	// minSilence is the least silence of the server that breaks a connection.
 	minSilence time.Duration
+	// healthPath is that of the backend server's health endpoint.
+	healthPath atomic.Pointer[string]
+	// watching: a goroutine waits for the end of a slow moment.
+	watching atomic.Bool
 }
 
 // New returns a gate without a backend server.
@@ -91,6 +96,7 @@
 		minSilence: minSilence,
 		attempts:   newAttempts(options.Incarnation, options.MaxAttempts, options.MaxAnswerBytes),
 	}
+	g.limiter.onHeld = g.watchMoment
 	g.register(options.Meter)
 	return g
 }
@@ -111,7 +117,7 @@
 		options := g.options.Client
 		options.MaxConns = server.Connections
 		options.Target = server.ID
-		g.server.Store(&guarded{Server: *server, client: wire.NewClient(options)})
+		g.server.Store(&guarded{Server: *server, client: wire.NewClient(options), health: newHealthProbe(options.Headers)})
 		g.limiter.configure(effectiveSlots(server))
 	}
 	if old == nil {
@@ -119,6 +125,7 @@
 	}
 	g.reportCrash(old)
 	old.client.Close()
+	old.health.close()
 }
 
 // effectiveSlots is the number of slots that the connections suffice for.
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -31,10 +31,12 @@
 	work         admission.Work
 	// verdicts receive 0 when the slot is given, or the kind of the refusal.
 	verdicts map[*admission.Ticket]chan errkind.Kind
-	// slowness is what the server last said of its machine, percent; zero: nothing.
-	slowness uint32
+	moments  admission.Moments
 	failures float64 // smoothed share, 0 to 1
-	idle     chan struct{}
+	// onHeld is called under the lock when requests wait though a slot is free; it
+	// must not block.
+	onHeld func()
+	idle   chan struct{}
 }
 
 func newLimiter() *limiter {
@@ -81,11 +83,36 @@
 	l.setLimitsLocked()
 }
 
-// setSlowness notes what the server says of its machine, percent.
+// setSlowness notes what the server says of its machine, percent, and lets
+// requests begin that waited for the end of a slow moment.
 func (l *limiter) setSlowness(percent uint32) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.slowness = percent
+	l.moments.Note(time.Now(), percent)
+	l.grantLocked()
+}
+
+// needsReport says whether the server should be asked how fast it works, since the
+// last report is older than age and may have changed.
+func (l *limiter) needsReport(age time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	return l.moments.Varies(now) && l.moments.Age(now) > age
+}
+
+// held is the number of requests that wait though a slot is free.
+func (l *limiter) held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Held()
+}
+
+// stretch is the factor on the time of a request that begins now.
+func (l *limiter) stretch() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.moments.Now(time.Now()).Stretch
 }
 
 // slot is what a request asks the limiter for.
@@ -135,17 +162,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	request := admission.Request{
-		Class:    clampClass(s.class),
-		Target:   s.target,
-		Deadline: s.deadline,
-		Work:     l.work.Expect(s.route, l.slowness),
-	}
-	if request.Target.IsZero() {
-		request.Target = s.deadline
-	}
-	l.queue.SetHold(l.work.Mean(l.slowness))
-	verdict, ticket, evicted := l.queue.Arrive(now, request)
+	l.queue.SetHold(l.work.Held())
+	l.queue.SetMoment(l.moments.Now(now))
+	verdict, ticket, evicted := l.queue.Arrive(now, l.requestLocked(s))
 	if evicted != nil {
 		l.decideLocked(evicted, pb.ErrorKind_ERROR_KIND_OVERLOADED)
 	}
@@ -156,9 +175,24 @@
 		return nil, nil, pb.ErrorKind_ERROR_KIND_OVERLOADED
 	}
 	l.verdicts[ticket] = make(chan errkind.Kind, 1)
+	l.noteHeldLocked()
 	return ticket, l.verdicts[ticket], 0
 }
 
+// requestLocked is what the queue is told of a request.
+func (l *limiter) requestLocked(s slot) admission.Request {
+	request := admission.Request{
+		Class:    clampClass(s.class),
+		Target:   s.target,
+		Deadline: s.deadline,
+		Work:     l.work.Expect(s.route),
+	}
+	if request.Target.IsZero() {
+		request.Target = s.deadline
+	}
+	return request
+}
+
 // decideLocked tells a request that waited what became of it.
 func (l *limiter) decideLocked(t *admission.Ticket, kind errkind.Kind) {
 	l.verdicts[t] <- kind
@@ -193,6 +227,8 @@
 type ending struct {
 	route string
 	held  time.Duration
+	// stretch is the factor on the request's time when it began.
+	stretch float64
 	// ran says that the server worked on the request to the end.
 	ran    bool
 	failed bool
@@ -203,7 +239,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e.ran {
-		l.work.Add(e.route, e.held, l.slowness)
+		l.work.Add(e.route, e.held, e.stretch)
 	}
 	share := 0.0
 	if e.failed {
@@ -218,15 +254,30 @@
 // no longer be answered in time.
 func (l *limiter) grantLocked() {
 	now := time.Now()
+	l.queue.SetMoment(l.moments.Now(now))
 	for _, t := range l.queue.Expired(now) {
 		l.decideLocked(t, tooLate(t.Deadline))
 	}
 	for t := l.queue.Next(now); t != nil; t = l.queue.Next(now) {
 		l.decideLocked(t, 0)
 	}
+	l.noteHeldLocked()
 	l.signalLocked()
 }
 
+// grant hands free slots to waiting requests.
+func (l *limiter) grant() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.grantLocked()
+}
+
+func (l *limiter) noteHeldLocked() {
+	if l.onHeld != nil && l.queue.Held() > 0 {
+		l.onHeld()
+	}
+}
+
 func (l *limiter) signalLocked() {
 	if l.idle != nil && l.queue.Running() == 0 && l.queue.Waiting() == 0 {
 		close(l.idle)
@@ -255,13 +306,13 @@
 	report.Slots = uint32(l.queue.Limit())
 	report.LatencyUs = uint32(min(l.work.Usual().Microseconds(), 1<<31))
 	report.ErrorsPermille = uint32(l.failures * 1000)
-	report.SlownessPercent = l.slowness
+	report.SlownessPercent = l.moments.Slowness()
 }
 
 func (l *limiter) smoothedLatency() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.work.Mean(l.slowness)
+	return l.work.Held()
 }
 
 // retryAfter is the wait to suggest to a caller who is turned away: the time in
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -19,6 +19,8 @@
 	crashes atomic.Int64
 	silent  atomic.Int64
 	shed    atomic.Int64
+	// probes are the answers of the backend server's health endpoint.
+	probes atomic.Int64
 	// untraced are the lines about requests left out.
 	untraced atomic.Int64
 }
@@ -36,6 +38,7 @@
 	crashes, _ := meter.Int64ObservableCounter("egretfield.gate.crashes", metric.WithDescription("Crashes of the backend server with requests in flight."))
 	silent, _ := meter.Int64ObservableCounter("egretfield.gate.silent_connections", metric.WithDescription("Connections to the backend server given up as silent."))
 	shed, _ := meter.Int64ObservableCounter("egretfield.gate.shed", metric.WithDescription("Requests that the backend server itself turned away."))
+	probes, _ := meter.Int64ObservableCounter("egretfield.gate.probes", metric.WithDescription("Answers of the backend server's health endpoint."))
 	untraced, _ := meter.Int64ObservableCounter("egretfield.gate.untraced", metric.WithDescription("Lines about requests left out."))
 	running, _ := meter.Int64ObservableGauge("egretfield.gate.running", metric.WithDescription("Requests that hold a slot."))
 	queued, _ := meter.Int64ObservableGauge("egretfield.gate.queued", metric.WithDescription("Requests that wait for a slot."))
@@ -44,12 +47,13 @@
 		o.ObserveInt64(crashes, g.counts.crashes.Load())
 		o.ObserveInt64(silent, g.counts.silent.Load())
 		o.ObserveInt64(shed, g.counts.shed.Load())
+		o.ObserveInt64(probes, g.counts.probes.Load())
 		o.ObserveInt64(untraced, g.counts.untraced.Load())
 		report := g.Report()
 		o.ObserveInt64(running, int64(report.InFlight))
 		o.ObserveInt64(queued, int64(report.Queued))
 		return nil
-	}, answers, crashes, silent, shed, untraced, running, queued)
+	}, answers, crashes, silent, shed, probes, untraced, running, queued)
 	if err != nil {
 		g.log.Error("gate metrics not registered", zap.Error(err))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,7 +170,7 @@
 		Connections: int(server.GetConnections()),
 	})
 	n.members.SetServer(server)
-	n.limitQueue(n.follower.Current(), server.GetService())
+	n.configureGate(n.follower.Current(), server.GetService())
 }
 
 // serverDown takes the backend server out of the choice of every node once it was
@@ -179,10 +179,12 @@
 	n.receiver.Forget()
 }
 
-// limitQueue applies the policy of the backend server's service to the gate.
-func (n *Node) limitQueue(state *pb.ConfigState, service string) {
+// configureGate applies what is configured for the backend server's service to the
+// gate.
+func (n *Node) configureGate(state *pb.ConfigState, service string) {
 	if state != nil {
 		n.gate.SetQueuePercent(config.PolicyOf(state, service).GetQueuePercent())
+		n.gate.SetHealthPath(config.HealthPathOf(state.GetConfig(), service))
 	}
 }
 
@@ -222,7 +224,7 @@
 	n.refresh()
 	n.entry.SetRoutes(entry.NewRoutes(state.GetConfig(), state.GetPreset()))
 	n.limiter.SetLimits(budget.LimitsOf(config.BudgetOf(state)))
-	n.limitQueue(state, n.members.Self().GetService())
+	n.configureGate(state, n.members.Self().GetService())
 	n.drain.setOperator(isDraining(state, n.settings.GetInstance()))
 }
 
--- a/internal/wire/serveranswer.go
+++ b/internal/wire/serveranswer.go
@@ -56,15 +56,15 @@
 		return eris.New("the body is in an encoding that nobody asked for")
 	}
 	if names.Load != "" {
-		answer.Load = parseServerLoad(header.Get(names.Load))
+		answer.Load = ParseServerLoad(header.Get(names.Load))
 		delete(header, names.Load)
 	}
 	return nil
 }
 
-// parseServerLoad parses "running,waiting,slots[,slowness]". It returns nil when
+// ParseServerLoad parses "running,waiting,slots[,slowness]". It returns nil when
 // text is malformed.
-func parseServerLoad(text string) *pb.LoadReport {
+func ParseServerLoad(text string) *pb.LoadReport {
 	var values [4]uint32
 	fields := strings.Split(text, ",")
 	if len(fields) < 3 {
