A refused upload that hadn't begun leaves the body to the next attempt

Cause, from the code: the backend server may answer before the upload's goroutine has run. At the entry's own gate nothing had touched the body then, so the entry sent the request to another server, and the first upload took a part of the body from the second. TestBodyAfterEarlyRefusal makes that order certain; it failed before.

Change: the end of an exchange cancels an upload that hasn't begun, or claims the body.

Ruled out: a connection kept with an unfinished upload (finish closes it), two readers at the gate after an early answer (the connection to the server is closed first), partial writes of the socket.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -56,6 +56,9 @@
 	return n, err
 }
 
+// Claim notes that an attempt may have read a part.
+func (b *callerBody) Claim() { b.touched.Store(true) }
+
 // stop ends a read in progress by deadline and waits for it. Later reads fail.
 // A body that was read to its end is left alone.
 func (b *callerBody) stop(deadline time.Time) {
--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -147,6 +147,7 @@
 
 func (b *answerBody) finish(keep bool) {
 	b.done = true
+	b.x.endUpload()
 	if b.x.upload != nil {
 		select {
 		case err := <-b.x.upload:
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -144,6 +144,7 @@
 		return answer, nil
 	}
 	x.stop()
+	x.endUpload()
 	cn.close()
 	if ctx.Err() != nil {
 		err = errors.Join(ctx.Err(), err)
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -36,6 +36,8 @@
 	begun   time.Time
 	// upload ends when the streamed body has been written; nil: none.
 	upload chan error
+	// taking is the state of the upload: whether it may still begin to read.
+	taking atomic.Int32
 	// attempt is the id that was sent to a node.
 	attempt string
 	reply   Answer
@@ -305,6 +307,35 @@
 	return nil
 }
 
+// States of an upload.
+const (
+	// bodyUntouched: nothing was read of the body.
+	bodyUntouched = iota
+	// bodyTaken: the upload has begun to read.
+	bodyTaken
+	// bodyReleased: the exchange ended before the upload began, which reads nothing.
+	bodyReleased
+)
+
+var errUploadCancelled = eris.New("the exchange ended before its body was read")
+
+// Claimer is a streamed body that is told when a part of it may have been read.
+type Claimer interface {
+	Claim()
+}
+
+// endUpload keeps an upload that hasn't begun from reading the body, so that
+// another attempt may. Otherwise the body is claimed: two readers would each send
+// a part of it.
+func (x *exchange) endUpload() {
+	if x.upload == nil || x.taking.CompareAndSwap(bodyUntouched, bodyReleased) {
+		return
+	}
+	if body, ok := x.sending.Call.Body.(Claimer); ok {
+		body.Claim()
+	}
+}
+
 // startUpload writes the streamed body beside the reading of the answer.
 func (x *exchange) startUpload() {
 	call := x.sending.Call
@@ -314,6 +345,10 @@
 	upload := make(chan error, 1)
 	x.upload = upload
 	go func() {
+		if !x.taking.CompareAndSwap(bodyUntouched, bodyTaken) {
+			upload <- errUploadCancelled
+			return
+		}
 		w := &progressWriter{conn: x.conn, limit: x.client.options.ProgressLimit}
 		err := writeBody(w, call)
 		if err != nil && !w.failed {
--- /dev/null
+++ b/internal/wire/upload_test.go
@@ -0,0 +1,76 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// earlyAnswer is a connection on which the answer lies ready before the request
+// was read.
+type earlyAnswer struct {
+	net.Conn // unused
+	answer   *strings.Reader
+}
+
+func (c earlyAnswer) Read(p []byte) (int, error)       { return c.answer.Read(p) }
+func (c earlyAnswer) Write(p []byte) (int, error)      { return len(p), nil }
+func (c earlyAnswer) Close() error                     { return nil }
+func (c earlyAnswer) SetDeadline(time.Time) error      { return nil }
+func (c earlyAnswer) SetReadDeadline(time.Time) error  { return nil }
+func (c earlyAnswer) SetWriteDeadline(time.Time) error { return nil }
+
+// watchedBody counts the reads and remembers a claim.
+type watchedBody struct {
+	io.Reader
+	reads   atomic.Int32
+	claimed atomic.Bool
+}
+
+func (b *watchedBody) Read(p []byte) (int, error) {
+	b.reads.Add(1)
+	return b.Reader.Read(p)
+}
+
+func (b *watchedBody) Claim() { b.claimed.Store(true) }
+
+// TestBodyAfterEarlyRefusal replays a server that turns an upload away before the
+// upload began: seed 187723312713 of the small Templarik site, where a second
+// attempt and the upload of the first shared one body.
+func TestBodyAfterEarlyRefusal(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // the upload begins after Do has returned
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nEgret-Not-Executed: 1\r\n\r\n"
+	client := NewClient(ClientOptions{
+		Dial: func(context.Context, string, string) (net.Conn, error) {
+			return earlyAnswer{answer: strings.NewReader(refusal)}, nil
+		},
+		Headers: &Headers{RequestID: HeaderRequestID, Timeout: HeaderTimeout, NotExecuted: "Egret-Not-Executed"},
+	})
+	body := &watchedBody{Reader: bytes.NewReader(make([]byte, 100<<10))}
+	call := &Call{
+		Meta:      Meta{RequestID: "r", Deadline: time.Now().Add(time.Minute)},
+		Method:    http.MethodPost,
+		URI:       "/",
+		Host:      "h",
+		Body:      body,
+		BodyBytes: 100 << 10,
+	}
+	answer, err := client.Do(context.Background(), Sending{Addr: "server", Call: call})
+	readBefore, claimed := body.reads.Load(), body.claimed.Load()
+	time.Sleep(20 * time.Millisecond)
+	Convey("The body of a refused upload is either left alone or claimed", t, func() {
+		So(err, ShouldBeNil)
+		So(answer.NotExecuted, ShouldBeTrue)
+		So(readBefore, ShouldEqual, 0)
+		So(claimed || body.reads.Load() == 0, ShouldBeTrue)
+	})
+}
