Placement by offers: an entry asks five gates how soon they would answer

Asking takes two milliseconds within a region and is exact.

Change: policy earliest_finish. Questions and offers are signed datagrams at the control address; five gates of the own region, the own data centre first; other regions when the own one would refuse or answer late; rejected at once when every gate that was asked would refuse. Without any offer the balancer decides as before. The setting platform.balancer names the policy.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -112,6 +112,38 @@
 	return Queued, ticket, evicted
 }
 
+// Expected is what a request would meet.
+type Expected struct {
+	// Refused: it would be turned away.
+	Refused bool
+	// Wait is the time until it begins.
+	Wait time.Duration
+	// Work is the time that the server takes then.
+	Work time.Duration
+}
+
+// Expect says what a request that arrives now would meet. It changes nothing.
+func (q *Queue) Expect(now time.Time, r Request) Expected {
+	t := &Ticket{Request: r, arrival: q.arrived + 1}
+	expected := Expected{Wait: q.expectedWait(now, t), Work: r.Work}
+	if expected.Wait < q.moment.Relief {
+		expected.Work = time.Duration(float64(r.Work) * q.moment.Stretch)
+	}
+	mustQueue := q.running >= q.limit || len(q.waiting) > 0 || r.isBetterLater(now, q.moment)
+	expected.Refused = mustQueue && (!q.worthWaiting(now, t) || !q.hasRoom(now, t))
+	return expected
+}
+
+// hasRoom says whether the queue is short enough, or has a request that is less
+// important.
+func (q *Queue) hasRoom(now time.Time, t *Ticket) bool {
+	if len(q.waiting) < q.room {
+		return true
+	}
+	least := q.least(now)
+	return least != nil && least.Class < t.Class
+}
+
 // worthWaiting says whether a request is expected to be answered in time if it
 // waits. In a burst most of the callers who wait get late answers or none; a
 // caller who is told at once can come back in time.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -105,3 +105,36 @@
 		So(w.Held(), ShouldBeBetween, 100*time.Millisecond, 400*time.Millisecond)
 	})
 }
+
+func TestExpect(t *testing.T) {
+	Convey("A free server offers its work at once", t, func() {
+		q := &Queue{}
+		q.SetLimits(2, 2)
+		So(q.Expect(start, request(low, 100*time.Millisecond, time.Second, time.Second)), ShouldResemble,
+			Expected{Work: 100 * time.Millisecond})
+	})
+	Convey("A busy server offers the wait behind those that go first", t, func() {
+		q := fullQueue(2, 2, 100*time.Millisecond)
+		r := request(low, 100*time.Millisecond, time.Second, time.Second)
+		So(q.Expect(start, r).Wait, ShouldEqual, 50*time.Millisecond)
+		q.Arrive(start, r)
+		So(q.Expect(start, r).Wait, ShouldEqual, 100*time.Millisecond)
+		So(q.Expect(start, request(high, 100*time.Millisecond, time.Second, time.Second)).Wait, ShouldEqual, 50*time.Millisecond)
+	})
+	Convey("A request that would be turned away is told so", t, func() {
+		q := fullQueue(1, 1, 100*time.Millisecond)
+		So(q.Expect(start, request(low, 100*time.Millisecond, 150*time.Millisecond, 150*time.Millisecond)).Refused, ShouldBeTrue)
+		q.Arrive(start, request(low, 0, time.Second, time.Second))
+		So(q.Expect(start, request(low, 0, time.Second, time.Second)).Refused, ShouldBeTrue)
+		So(q.Expect(start, request(high, 0, time.Second, time.Second)).Refused, ShouldBeFalse)
+	})
+	Convey("A slow server offers what is sooner: its end or a slow start", t, func() {
+		q := &Queue{}
+		q.SetLimits(2, 2)
+		q.SetMoment(Moment{Stretch: 4, Relief: 200 * time.Millisecond})
+		So(q.Expect(start, request(low, 20*time.Millisecond, time.Second, time.Second)), ShouldResemble,
+			Expected{Work: 80 * time.Millisecond})
+		So(q.Expect(start, request(low, 100*time.Millisecond, time.Second, time.Second)), ShouldResemble,
+			Expected{Wait: 200 * time.Millisecond, Work: 100 * time.Millisecond})
+	})
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -70,4 +70,7 @@
 	Pick(info PickInfo) (*Endpoint, error)
 	// Done reports the end of an attempt.
 	Done(result Result)
+	// Placer returns the part that places requests by the offers of gates; nil: the
+	// policy asks for none.
+	Placer() Placer
 }
--- a/internal/balance/policies.go
+++ b/internal/balance/policies.go
@@ -18,6 +18,8 @@
 	P2C           = "p2c"
 	P2CEWMA       = "p2c_ewma"
 	ProbePool     = "probe_pool"
+	// EarliestFinish asks gates for offers; without any it chooses as P2CEWMA.
+	EarliestFinish = "earliest_finish"
 	// Default is the policy of a configuration that names none.
 	Default = P2CEWMA
 )
@@ -34,7 +36,7 @@
 
 // Names returns the names of all policies, sorted.
 func Names() []string {
-	names := []string{RoundRobin, Random, LeastInFlight, P2C, P2CEWMA, ProbePool}
+	names := []string{RoundRobin, Random, LeastInFlight, P2C, P2CEWMA, ProbePool, EarliestFinish}
 	slices.Sort(names)
 	return names
 }
@@ -54,6 +56,9 @@
 		p.chooser = newTwoChoices(p.options.Rand, isLessLoaded)
 	case P2CEWMA, "":
 		p.chooser = newTwoChoices(p.options.Rand, isFaster)
+	case EarliestFinish:
+		p.chooser = newTwoChoices(p.options.Rand, isFaster)
+		p.places = true
 	case ProbePool:
 		p.chooser = &probePool{rand: p.options.Rand}
 	default:
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -49,8 +49,9 @@
 
 // Options configure a balancer.
 type Options struct {
-	// Region is that of this entry.
-	Region string
+	// Region and DataCentre are those of this entry.
+	Region     string
+	DataCentre string
 	// Rand returns random numbers; nil: math/rand/v2.
 	Rand func() uint64
 }
@@ -65,6 +66,10 @@
 	ejecting  sync.Mutex
 	spill     *spill
 	ejections atomic.Int64
+	// places: requests are placed by the offers of gates.
+	places bool
+	// farTrip is the mean time of a question to another region, nanoseconds.
+	farTrip atomic.Int64
 }
 
 // newPool returns a pool without endpoints.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -59,7 +59,7 @@
 	{"no preset", "presets:\n  - name: ordinary\n    policy: {balancer: p2c}\n", "", []string{
 		"presets: expected at least one preset", "default_preset: got \"ordinary\"",
 	}},
-	{"balancer", "p2c", "fastest", []string{`c.yaml:11:24: presets[0].policy.balancer: got "fastest", expected one of least_in_flight, p2c, p2c_ewma, probe_pool, random, round_robin`}},
+	{"balancer", "p2c", "fastest", []string{`c.yaml:11:24: presets[0].policy.balancer: got "fastest", expected one of earliest_finish, least_in_flight, p2c, p2c_ewma, probe_pool, random, round_robin`}},
 	{"policy of an unknown service", "balancer: p2c}", "balancer: p2c}\n    service_policies: [{service: order, policy: {}}]",
 		[]string{`c.yaml:12:34: presets[0].service_policies[0].service: got "order", expected the name of a service`}},
 	{"policy without content", "balancer: p2c}", "balancer: p2c}\n    service_policies: [{service: orders}]",
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,8 @@
 	BalancerFor func(service string) balance.Balancer
 	// Entries returns the number of entries in the fleet; nil: this is the only one.
 	Entries func() int
+	// Offers asks gates how soon they would answer; nil: the balancers decide alone.
+	Offers Offers
 	// Peer asks gates about lost attempts; nil: they stay unknown.
 	Peer peer.Client
 	// Guard decides on idempotency keys; nil: keys are passed on only.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -40,11 +40,16 @@
 	buffer    *[]byte // of a prefetched answer
 
 	balancer balance.Balancer
-	tried    []string
-	triedFew [DefaultMaxAttempts]string // backs tried
-	attempts int
-	trace    []tried
-	failures int
+	// offered is the offer that the last attempt was placed by; nil: none.
+	offered *balance.Offered
+	// backAfter is the wait to suggest when no gate would take the request; zero:
+	// the kind's.
+	backAfter time.Duration
+	tried     []string
+	triedFew  [DefaultMaxAttempts]string // backs tried
+	attempts  int
+	trace     []tried
+	failures  int
 	// doubt is the answer of an attempt that may have run and was followed by
 	// another; nil: none did.
 	doubt *wire.Answer
@@ -108,12 +113,14 @@
 func (x *exchange) tryAll(ctx context.Context) *wire.Answer {
 	var last *wire.Answer
 	for {
-		endpoint, err := x.pick(last)
+		endpoint, err := x.pick(ctx, last)
 		if err != nil {
 			if last != nil {
 				return last
 			}
-			return failure(err)
+			refusal := failure(err)
+			refusal.RetryAfter = x.backAfter
+			return refusal
 		}
 		answer := x.attempt(ctx, endpoint)
 		if !x.goesOn(ctx, answer) {
@@ -132,11 +139,11 @@
 }
 
 // pick chooses the endpoint of the next attempt.
-func (x *exchange) pick(last *wire.Answer) (*balance.Endpoint, error) {
+func (x *exchange) pick(ctx context.Context, last *wire.Answer) (*balance.Endpoint, error) {
 	if !time.Now().Before(x.call.Deadline) {
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_DEADLINE_BEFORE_RUN, "the deadline passed before the request was sent")
 	}
-	endpoint, err := x.balancer.Pick(balance.PickInfo{Class: x.call.Class, Tried: x.tried, BodyBytes: x.call.BodyBytes})
+	endpoint, err := x.choose(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -32,6 +32,8 @@
 	open      int
 }
 
+func (b *fixedBalancer) Placer() balance.Placer { return nil }
+
 func (b *fixedBalancer) Update([]*balance.Endpoint, *pb.Policy) {}
 
 func (b *fixedBalancer) Pick(info balance.PickInfo) (*balance.Endpoint, error) {
--- a/internal/entry/trace.go
+++ b/internal/entry/trace.go
@@ -41,6 +41,8 @@
 	region   string
 	outcome  string
 	took     time.Duration
+	// offered is the offer that led there; nil: none.
+	offered *balance.Offered
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
@@ -49,6 +51,11 @@
 	encoder.AddString("region", t.region)
 	encoder.AddString("outcome", t.outcome)
 	encoder.AddFloat64("ms", float64(t.took.Microseconds())/1000)
+	if t.offered != nil {
+		encoder.AddFloat64("offered_wait_ms", float64(t.offered.Wait.Microseconds())/1000)
+		encoder.AddFloat64("offered_work_ms", float64(t.offered.Work.Microseconds())/1000)
+		encoder.AddFloat64("offer_trip_ms", float64(t.offered.Trip.Microseconds())/1000)
+	}
 	return nil
 }
 
@@ -72,7 +79,9 @@
 		region:   endpoint.Region,
 		outcome:  outcomeName(answer),
 		took:     x.open.Latency,
+		offered:  x.offered,
 	})
+	x.offered = nil
 }
 
 // outcomeName is the error kind of an answer, or "answered".
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -13,6 +13,7 @@
 	"github.com/egretfield/egretfield/internal/entry"
 	"github.com/egretfield/egretfield/internal/gate"
 	"github.com/egretfield/egretfield/internal/member"
+	"github.com/egretfield/egretfield/internal/offer"
 	"github.com/egretfield/egretfield/internal/once"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/peer"
@@ -151,7 +152,7 @@
 func (n *Node) makePath(options Options) error {
 	meter := options.Metrics.Meter()
 	token := wire.PeerToken([]byte(n.settings.GetSharedKey()))
-	n.services = newServices(balance.Options{Region: n.settings.GetRegion()}, n.members)
+	n.services = newServices(balance.Options{Region: n.settings.GetRegion(), DataCentre: n.settings.GetDataCentre()}, n.members)
 	n.suspects = quarantine.New(n.members, n.logger.Named("quarantine"))
 	n.gate = gate.New(gate.Options{
 		Instance:    n.settings.GetInstance(),
@@ -163,7 +164,9 @@
 		Down:        n.serverDown,
 		Client:      wire.ClientOptions{Headers: n.headers()},
 	})
+	n.offers = offer.New(n.sockets.offers, []byte(n.settings.GetSharedKey()), n.gate.Offer, n.logger.Named("offers"))
 	entryOptions := entry.Options{
+		Offers:      n.offers,
 		Service:     n.settings.GetPlatform().GetService(),
 		Headers:     n.headers(),
 		Instance:    n.settings.GetInstance(),
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -94,6 +94,9 @@
 	if err := n.control.Close(); err != nil {
 		n.logger.Warn("control", zap.Error(err))
 	}
+	if err := n.offers.Close(); err != nil {
+		n.logger.Warn("offers", zap.Error(err))
+	}
 	if err := n.client.Close(); err != nil {
 		n.logger.Warn("control client", zap.Error(err))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/egretfield/egretfield/internal/entry"
 	"github.com/egretfield/egretfield/internal/gate"
 	"github.com/egretfield/egretfield/internal/member"
+	"github.com/egretfield/egretfield/internal/offer"
 	"github.com/egretfield/egretfield/internal/once"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/peer"
@@ -93,6 +94,7 @@
 	entry    *entry.Handler
 	gate     *gate.Gate
 	suspects *quarantine.Table
+	offers   *offer.Exchange
 	receiver *announce.Receiver
 	drain    *drainer
 
@@ -294,6 +296,7 @@
 // startServers serves on every socket.
 func (n *Node) startServers(group *errgroup.Group) {
 	group.Go(func() error { return n.control.Serve(n.sockets.control) })
+	group.Go(n.offers.Serve)
 	for server, socket := range n.httpServers() {
 		group.Go(func() error {
 			err := server.Serve(socket)
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -18,6 +18,8 @@
 	caller, gate, control, announce, ops net.Listener
 	// ready is nil without a platform.
 	ready net.Listener
+	// offers is at the control address, for datagrams.
+	offers net.PacketConn
 	// callerTLS is caller, with TLS when the settings name certificates.
 	callerTLS net.Listener
 }
@@ -48,6 +50,12 @@
 		}
 		*one.into = listener
 	}
+	offers, err := net.ListenPacket("udp", s.control.Addr().String())
+	if err != nil {
+		s.close()
+		return nil, eris.Wrap(err, "control_address")
+	}
+	s.offers = offers
 	s.caller, s.gate = wire.Direct(s.caller), wire.Direct(s.gate)
 	return s, s.secure(settings.GetCallerTls())
 }
@@ -74,6 +82,9 @@
 			listener.Close()
 		}
 	}
+	if s.offers != nil {
+		s.offers.Close()
+	}
 }
 
 // Addresses are where a node listens.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/pb"
 )
 
@@ -96,6 +97,9 @@
 	}
 	c.duration("platform.heartbeat", settings.GetHeartbeat())
 	c.duration("platform.retry_window", settings.GetRetryWindow())
+	if settings.GetBalancer() != "" {
+		c.oneOf("platform.balancer", settings.GetBalancer(), balance.Names())
+	}
 	if ratio := settings.GetRetryRatio(); ratio < 0 || ratio > 1 {
 		c.addf("platform.retry_ratio", "got %g, expected 0 to 1", ratio)
 	}
