Stops in turn and starts take less of the fleet's room; targets get a margin

Changes: the gate of a stopping node works on while callers move and takes only what ends before the stop; requests wait up to 300 ms for a node that starts; a refusal after an offer is no retry (at most three); a request counts as on time with 30% to spare.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,9 +23,15 @@
 // answered in time.
 func (r *Request) latestStart() time.Time { return r.Deadline.Add(-r.Work) }
 
+// targetPercent of its expected work is set aside for a request to meet its target:
+// work spreads by about a third, and the answer has a way to go.
+const targetPercent = 130
+
 // meetsTarget says whether the request, begun at start, is expected to meet its
 // target.
-func (r *Request) meetsTarget(start time.Time) bool { return !start.Add(r.Work).After(r.Target) }
+func (r *Request) meetsTarget(start time.Time) bool {
+	return !start.Add(r.Work * targetPercent / 100).After(r.Target)
+}
 
 // isBetterLater says whether the request is expected to be answered sooner if it
 // waits for the end of a slow moment.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -50,6 +50,15 @@
 		q.Release()
 		So(q.Next(start), ShouldEqual, late)
 	})
+	Convey("A request that barely meets its target by the mean of its work counts as late", t, func() {
+		q := fullQueue(1, 10, 20*time.Millisecond)
+		_, barely, _ := q.Arrive(start, request(high, 100*time.Millisecond, 110*time.Millisecond, time.Second))
+		_, safe, _ := q.Arrive(start, request(high, 100*time.Millisecond, 400*time.Millisecond, time.Second))
+		q.Release()
+		So(q.Next(start), ShouldEqual, safe)
+		q.Release()
+		So(q.Next(start), ShouldEqual, barely)
+	})
 	Convey("A late request of a higher class still goes before one of a lower class", t, func() {
 		q := fullQueue(1, 10, 20*time.Millisecond)
 		_, read, _ := q.Arrive(start, request(low, 100*time.Millisecond, 400*time.Millisecond, time.Second))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,9 @@
 	Entries func() int
 	// Offers asks gates how soon they would answer; nil: the balancers decide alone.
 	Offers Offers
+	// Started is closed once the node can serve; requests that come before wait a
+	// little. Nil: it can from the beginning.
+	Started <-chan struct{}
 	// Peer asks gates about lost attempts; nil: they stay unknown.
 	Peer peer.Client
 	// Guard decides on idempotency keys; nil: keys are passed on only.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -16,6 +16,9 @@
 	// maxRefusals bounds the attempts when each was refused or unreachable
 	// for a reason other than load.
 	maxRefusals = 8
+	// maxOldOffers bounds the attempts that follow refusals of gates that had just
+	// offered to take the request.
+	maxOldOffers = 3
 	// maxFailures bounds the attempts that go on after a backend server failed
 	// while it ran the request.
 	maxFailures = 1
@@ -40,6 +43,8 @@
 	buffer    *[]byte // of a prefetched answer
 
 	balancer balance.Balancer
+	// placed: the last attempt was placed by an offer.
+	placed bool
 	// offered is the offer that the last attempt was placed by; nil: none.
 	offered *balance.Offered
 	// backAfter is the wait to suggest when no gate would take the request; zero:
@@ -268,6 +273,11 @@
 	if answer.Arrived {
 		return x.attempts < maxRefusals && x.service.state.budget.Take()
 	}
+	if answer.Kind == pb.ErrorKind_ERROR_KIND_OVERLOADED && x.placed {
+		// The offer was a moment too old. Nothing reached a backend server, so this
+		// is no retry.
+		return x.attempts <= maxOldOffers
+	}
 	if answer.Kind == pb.ErrorKind_ERROR_KIND_OVERLOADED {
 		return x.attempts < x.maxAttempts() && x.service.state.budget.Take()
 	}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -45,6 +45,7 @@
 // decides from what it knows.
 func (x *exchange) choose(ctx context.Context) (*balance.Endpoint, error) {
 	info := balance.PickInfo{Class: x.call.Class, Tried: x.tried, BodyBytes: x.call.BodyBytes}
+	x.placed = false
 	placer := x.balancer.Placer()
 	if placer == nil || x.handler.options.Offers == nil {
 		return x.balancer.Pick(info)
@@ -56,7 +57,7 @@
 		best = placer.Best(offers, time.Until(x.call.Target))
 	}
 	if best != nil {
-		x.offered = best
+		x.offered, x.placed = best, true
 		return placer.Take(best.Endpoint, info)
 	}
 	if wait, refused := balance.Refusals(offers); refused {
--- a/internal/entry/place_test.go
+++ b/internal/entry/place_test.go
@@ -116,3 +116,41 @@
 		So(sent.instance, ShouldEqual, "own")
 	})
 }
+
+// TestRequestAtStart replays a backend server that goes on making calls while the
+// node beside it is started again.
+func TestRequestAtStart(t *testing.T) {
+	Convey("Given an entry that hasn't started yet", t, func() {
+		b, err := balance.New("", balance.Options{Region: "north"})
+		So(err, ShouldBeNil)
+		started := make(chan struct{})
+		h := entry.New(entry.Options{
+			Instance:    "own",
+			Region:      "north",
+			Local:       localGate(func() {}),
+			BalancerFor: func(string) balance.Balancer { return b },
+			Started:     started,
+		})
+		defer h.Close()
+		send := func() int {
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/svc/orders/x", nil))
+			return w.Code
+		}
+
+		Convey("a request waits for the start and is served", func() {
+			go func() {
+				time.Sleep(50 * time.Millisecond)
+				b.Update([]*balance.Endpoint{northEndpoint("own")}, &pb.Policy{})
+				h.SetRoutes(entry.NewRoutes(testConfig, ""))
+				close(started)
+			}()
+			So(send(), ShouldEqual, http.StatusOK)
+		})
+		Convey("it is refused as not run when the start takes long", func() {
+			begun := time.Now()
+			So(send(), ShouldEqual, http.StatusServiceUnavailable)
+			So(time.Since(begun), ShouldBeLessThan, time.Second)
+		})
+	})
+}
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -34,6 +34,7 @@
 	x.begun = time.Now()
 	x.expects = len(x.r.Header["Expect"]) > 0
 	x.takeRequestID()
+	x.awaitStart()
 	routes := x.handler.routes.Load()
 	if routes == nil {
 		return wire.Fail(pb.ErrorKind_ERROR_KIND_NOT_READY, "the node has no configuration yet")
@@ -70,6 +71,31 @@
 	return x.takeFingerprint()
 }
 
+// maxStartWait bounds the wait of a request that comes while the node starts: a
+// node that joins a fleet knows its servers within some hundred milliseconds.
+const maxStartWait = 300 * time.Millisecond
+
+// awaitStart waits until the node can serve. It answers backend servers that go on
+// making calls while the node beside them is started again.
+func (x *exchange) awaitStart() {
+	started := x.handler.options.Started
+	if started == nil {
+		return
+	}
+	select {
+	case <-started:
+		return
+	default:
+	}
+	timer := time.NewTimer(maxStartWait)
+	defer timer.Stop()
+	select {
+	case <-started:
+	case <-timer.C:
+	case <-x.r.Context().Done():
+	}
+}
+
 // failure turns an error into an answer.
 func failure(err error) *wire.Answer {
 	var typed *errkind.Error
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -72,8 +72,11 @@
 	attempts *attempts
 	server   atomic.Pointer[guarded]
 	draining atomic.Bool
-	counts   counts
-	traces   *rate.Limiter
+	// stopBy is when every request must have ended, since the node stops; nil: it
+	// doesn't.
+	stopBy atomic.Pointer[time.Time]
+	counts counts
+	traces *rate.Limiter
 	// minSilence is the least silence of the server that breaks a connection.
 	minSilence time.Duration
 	// healthPath is that of the backend server's health endpoint.
@@ -150,6 +153,19 @@
 	}
 }
 
+// SetStopping makes the gate take only what is expected to end well before by.
+func (g *Gate) SetStopping(by time.Time) { g.stopBy.Store(&by) }
+
+// stopFactor is how many times the expected work must fit into what is left before
+// a stop.
+const stopFactor = 2
+
+// outlasts says whether a call that begins now might not end before the stop.
+func (g *Gate) outlasts(call *wire.Call) bool {
+	by := g.stopBy.Load()
+	return by != nil && stopFactor*g.limiter.expectedWork(call.Route) > time.Until(*by)
+}
+
 // RefuseWaiting refuses the requests in the queue. They weren't run and may go to
 // another backend server.
 func (g *Gate) RefuseWaiting() {
@@ -193,6 +209,8 @@
 	switch {
 	case g.draining.Load():
 		return nil, wire.Fail(pb.ErrorKind_ERROR_KIND_DRAINING, "the instance is draining")
+	case g.outlasts(call):
+		return nil, wire.Fail(pb.ErrorKind_ERROR_KIND_DRAINING, "the instance stops before the request would end")
 	case server == nil:
 		return nil, wire.Fail(pb.ErrorKind_ERROR_KIND_NOT_READY, "no backend server has announced itself")
 	case server.Service != call.Service:
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -315,6 +315,13 @@
 	return l.work.Held()
 }
 
+// expectedWork is the time that a request of the route takes if it begins now.
+func (l *limiter) expectedWork(route string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(float64(l.work.Expect(route)) * l.moments.Now(time.Now()).Stretch)
+}
+
 // retryAfter is the wait to suggest to a caller who is turned away: the time in
 // which the queue drains, spread by half to either side so that those turned away
 // together don't come back together.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -167,6 +167,7 @@
 	n.offers = offer.New(n.sockets.offers, []byte(n.settings.GetSharedKey()), n.gate.Offer, n.logger.Named("offers"))
 	entryOptions := entry.Options{
 		Offers:      n.offers,
+		Started:     n.met,
 		Service:     n.settings.GetPlatform().GetService(),
 		Headers:     n.headers(),
 		Instance:    n.settings.GetInstance(),
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -62,13 +62,6 @@
 	}
 }
 
-// isStopping says whether the node is stopping.
-func (d *drainer) isStopping() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.stopping
-}
-
 // wanted says whether there is any reason to drain.
 func (d *drainer) wanted() bool {
 	d.mu.Lock()
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -35,14 +35,18 @@
 	n.stopBy = time.Now().Add(timeout - timeout/stopReserve)
 	ctx, cancel := context.WithTimeout(context.Background(), requestTime(timeout))
 	defer cancel()
-	n.drain.stop()
+	n.stopping.Store(true)
 	if deadline, ok := ctx.Deadline(); ok {
 		n.entry.SetStopping(deadline)
+		n.gate.SetStopping(deadline)
 	}
+	// The backend server works on while callers move, so that a stop of many nodes
+	// in turn takes as little of the fleet's room as it can.
 	notice := settings.Duration(n.settings.GetDrainNotice())
+	delay.Sleep(ctx, settings.Duration(n.settings.GetCallerNotice())-notice)
+	n.drain.stop()
 	delay.Sleep(ctx, notice)
 	n.gate.SetDraining(true)
-	delay.Sleep(ctx, settings.Duration(n.settings.GetCallerNotice())-notice)
 	if err := n.callerHTTP.Shutdown(ctx); err != nil {
 		n.logger.Warn("callers' requests still running", zap.Error(err))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +19,7 @@
 	"github.com/egretfield/egretfield/internal/budget"
 	"github.com/egretfield/egretfield/internal/config"
 	"github.com/egretfield/egretfield/internal/configlog"
+	"github.com/egretfield/egretfield/internal/delay"
 	"github.com/egretfield/egretfield/internal/entry"
 	"github.com/egretfield/egretfield/internal/gate"
 	"github.com/egretfield/egretfield/internal/member"
@@ -102,6 +104,10 @@
 	// readyHTTP is nil without a platform.
 	readyHTTP *http.Server
 
+	// stopping: the node leaves the fleet.
+	stopping atomic.Bool
+	// met is closed once the node has a configuration and has met the fleet.
+	met chan struct{}
 	// stopBy is when a stop must be over.
 	stopBy time.Time
 
@@ -114,6 +120,7 @@
 func New(options Options) (*Node, error) {
 	settings.Fill(options.Settings)
 	n := &Node{settings: options.Settings, started: time.Now(), platform: options.Platform, level: options.Level}
+	n.met = make(chan struct{})
 	n.logger = telemetry.WithPosition(options.Logger, telemetry.Position{
 		ConfigOffset: n.configOffset,
 		Incarnation:  n.incarnation,
@@ -273,6 +280,7 @@
 	changed, _ := n.members.Watch()
 	n.follower.Subscribe(n.apply)
 	group.Go(func() error { return n.follower.Run(ctx) })
+	group.Go(func() error { n.awaitFleet(ctx); return nil })
 	if n.snapshot != nil {
 		group.Go(func() error { return n.snapshot.Run(ctx) })
 	}
@@ -293,6 +301,20 @@
 	})
 }
 
+// meetPoll is how often a node that starts looks whether it has met the fleet.
+const meetPoll = 10 * time.Millisecond
+
+// awaitFleet closes met once the node knows what it needs to serve callers.
+func (n *Node) awaitFleet(ctx context.Context) {
+	for n.follower.Current() == nil || !n.members.Joined() {
+		if !delay.Sleep(ctx, meetPoll) {
+			return
+		}
+	}
+	n.refresh()
+	close(n.met)
+}
+
 // startServers serves on every socket.
 func (n *Node) startServers(group *errgroup.Group) {
 	group.Go(func() error { return n.control.Serve(n.sockets.control) })
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -48,7 +48,7 @@
 // configuration, has met the fleet once and isn't stopping. A backend server that
 // leaves and a node that lost touch don't matter; the entry still has others.
 func (n *Node) takesCallers() bool {
-	return n.follower.Current() != nil && n.members.Joined() && !n.drain.isStopping()
+	return n.follower.Current() != nil && n.members.Joined() && !n.stopping.Load()
 }
 
 // status is the node's side of egretctl status and explain.
