--- a/internal/balance/offers.go
+++ b/internal/balance/offers.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"slices"
 	"time"
 
 	"github.com/egretfield/egretfield/internal/errkind"
@@ -180,13 +179,14 @@
 	return p.take(s), nil
 }
 
-// Refusals returns the shortest wait that was offered with a refusal; false: there
-// was none.
-func Refusals(offers []Offered) (time.Duration, bool) {
-	refused := slices.DeleteFunc(slices.Clone(offers), func(o Offered) bool { return !o.Refused })
-	if len(refused) == 0 {
-		return 0, false
+// Refusals returns the shortest wait that was offered with a refusal, zero if none of
+// them was for load; false: there was no refusal.
+func Refusals(offers []Offered) (wait time.Duration, refused bool) {
+	for _, o := range offers {
+		refused = refused || o.Refused
+		if o.Refused && o.Wait > 0 && (wait == 0 || o.Wait < wait) {
+			wait = o.Wait
+		}
 	}
-	least := slices.MinFunc(refused, func(a, b Offered) int { return int(a.Wait - b.Wait) })
-	return least.Wait, true
+	return wait, refused
 }
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -66,8 +66,13 @@
 		best = placer.Best(offers, time.Until(x.call.Target))
 	}
 	if best != nil {
+		endpoint, err := placer.Take(best.Endpoint, info)
+		if err != nil {
+			// It left meanwhile, or the budget of bytes to its region is spent.
+			return x.balancer.Pick(info)
+		}
 		x.offered, x.placed = best, true
-		return placer.Take(best.Endpoint, info)
+		return endpoint, nil
 	}
 	if wait, refused := balance.Refusals(offers); refused {
 		x.backAfter = spread(max(wait, minBackAfter))
--- a/internal/offer/exchange.go
+++ b/internal/offer/exchange.go
@@ -31,6 +31,8 @@
 	// maxAnswering bounds the questions answered at once; more are dropped, and
 	// their entries choose among other gates.
 	maxAnswering = 256
+	// readPause follows an error of reading, so that a lasting one costs no processor.
+	readPause = time.Millisecond
 	// answerTime bounds the making of an offer, which may ask the backend server.
 	answerTime = 20 * time.Millisecond
 )
@@ -118,8 +120,9 @@
 			return nil
 		}
 		if err != nil {
-			// An earlier datagram was refused by its receiver's machine.
+			// Mostly an earlier datagram that its receiver's machine refused.
 			e.logger.Debug("datagram not read", zap.Error(err))
+			time.Sleep(readPause)
 			continue
 		}
 		message, ok := e.open(buffer[:n])
