Entries share the fleet's slack of retries by the members known now

Cause: the slack was divided by the members known when the configuration came, which is one at a node's start; 24 entries had the slack of all until the next configuration. Now it is divided anew when members change, and is nothing before the fleet was met.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,7 +41,8 @@
 	Local LocalGate
 	// BalancerFor returns the balancer of a configured service, or nil.
 	BalancerFor func(service string) balance.Balancer
-	// Entries returns the number of entries in the fleet; nil: this is the only one.
+	// Entries returns the number of entries in the fleet, zero while it isn't known;
+	// nil: this is the only one.
 	Entries func() int
 	// Offers asks gates how soon they would answer; nil: the balancers decide alone.
 	Offers Offers
@@ -122,20 +123,36 @@
 			state.counts.bind(name)
 		}
 		state.budget.SetPercent(s.percent)
-		state.budget.SetWindow(s.window, s.slack/float64(h.entries()))
 		s.state = state
 		states[name] = state
 	}
 	h.states = states
 	h.routes.Store(routes)
+	h.shareRetriesLocked(routes)
 }
 
-// entries is the number of entries that share the fleet's retries.
-func (h *Handler) entries() int {
-	if h.options.Entries == nil {
-		return 1
+// ShareRetries divides the fleet's retries anew. Call it when the number of entries
+// changed: one that knows only itself would take the slack of all.
+func (h *Handler) ShareRetries() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if routes := h.routes.Load(); routes != nil {
+		h.shareRetriesLocked(routes)
+	}
+}
+
+func (h *Handler) shareRetriesLocked(routes *Routes) {
+	entries := 1
+	if h.options.Entries != nil {
+		entries = h.options.Entries()
+	}
+	for _, s := range routes.services {
+		slack := 0.0
+		if entries > 0 {
+			slack = s.slack / float64(entries)
+		}
+		s.state.budget.SetWindow(s.window, slack)
 	}
-	return max(h.options.Entries(), 1)
 }
 
 // SetStopping makes every answer ask its caller to use another connection.
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -17,8 +17,12 @@
 	return false
 }
 
-// liveMembers is the number of members that are thought to run.
+// liveMembers is the number of members that are thought to run; zero before the node
+// has met the fleet.
 func (n *Node) liveMembers() int {
+	if !n.members.Joined() {
+		return 0
+	}
 	count := 0
 	for _, m := range n.members.View().Members {
 		if isLive(m) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -221,6 +221,7 @@
 	if state == nil {
 		return
 	}
+	n.entry.ShareRetries()
 	err := n.services.update(state, n.members.View())
 	if err != nil && !n.stale {
 		n.logger.Error("balancers can't follow the configuration", zap.Error(err))
