A SIGHUP while a node starts or stops no longer ends it

Cause: the handler of SIGHUP was taken away with the beginning of a stop, so that the default, the end of the process, was in force until its end: SIGTERM at 8.095 s, no line after 'leaving', started again at 9.595 s. The signal is now taken from the start to the end of the process. The soak's stops get a SIGHUP too.

--- a/cmd/egretnode/main.go
+++ b/cmd/egretnode/main.go
@@ -56,6 +56,10 @@
 	if file == "" {
 		return errkind.New(pb.ErrorKind_ERROR_KIND_INVALID_CONFIG, "-settings is required")
 	}
+	// Taken from the start to the end of the process: the default of SIGHUP would end
+	// a node that starts or stops.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	loaded, err := settings.Load(file)
 	if err != nil || checkOnly {
 		return err
@@ -73,15 +77,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	go watchReload(ctx, n, file)
+	go watchReload(ctx, reload, n, file)
 	return n.Run(ctx)
 }
 
 // watchReload checks the settings file again at each SIGHUP.
-func watchReload(ctx context.Context, n *node.Node, file string) {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
+func watchReload(ctx context.Context, reload <-chan os.Signal, n *node.Node, file string) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -174,6 +174,20 @@
 	})
 }
 
+// TestReloadWhileStopping replays seed 487013959170 of the small Templarik site: the
+// settings change while a node stops.
+func TestReloadWhileStopping(t *testing.T) {
+	Convey("A node that is told to reload while it stops goes on stopping", t, func() {
+		f := newFleet(t, 2)
+		victim := f.instances[1].node
+		victim.signal(syscall.SIGTERM)
+		time.Sleep(300 * time.Millisecond)
+		victim.signal(syscall.SIGHUP)
+		<-victim.done
+		So(victim.cmd.ProcessState.ExitCode(), ShouldEqual, 0)
+	})
+}
+
 func TestDrain(t *testing.T) {
 	Convey("An instance drained and undrained by an operator: every request is answered, none runs there meanwhile", t, func() {
 		f := newFleet(t, 4)
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -72,8 +72,11 @@
 }
 
 var soakActions = []soakAction{
-	{"node stopped", true, func(s *soak, i *instance, _ time.Duration) {
+	{"node stopped", true, func(s *soak, i *instance, length time.Duration) {
+		// Its settings change meanwhile.
+		reload := time.AfterFunc(length/4, func() { i.node.signal(syscall.SIGHUP) })
 		i.node.terminate()
+		reload.Stop()
 		s.startNode(i)
 	}},
 	{"server stopped", true, func(s *soak, i *instance, _ time.Duration) {
