--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
+	"github.com/egretfield/egretfield/internal/admission"
 	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/offer"
@@ -21,9 +21,6 @@
 	firstQuestions = 2
 	// farQuestions is the number of gates of other regions that are asked.
 	farQuestions = 4
-	// minBackAfter is the least wait suggested to a caller whom every gate would turn
-	// away; sooner, nothing can have changed.
-	minBackAfter = 50 * time.Millisecond
 	// farGain is how many trips to another region the best offer of the own one must
 	// be worse than an idle server for others to be asked: the question, the request
 	// and its answer, and the bytes between regions, which are paid for.
@@ -75,16 +72,12 @@
 		return endpoint, nil
 	}
 	if wait, refused := balance.Refusals(offers); refused {
-		x.backAfter = spread(max(wait, minBackAfter))
+		x.backAfter = admission.RetryAfter(wait)
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_OVERLOADED, "every gate that was asked would refuse")
 	}
 	return x.balancer.Pick(info)
 }
 
-// spread moves a wait by half to either side, so that callers who are turned away
-// together don't come back together.
-func spread(wait time.Duration) time.Duration { return wait/2 + rand.N(wait) }
-
 // looksFar says whether gates of other regions are asked: the own region would
 // refuse, or answer so late that a server of another may be faster.
 func (x *exchange) looksFar(placer balance.Placer, best *balance.Offered) bool {
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,9 +16,6 @@
 	failureWeight = 0.125
 	// defaultQueuePercent bounds the queue as a share of the slots.
 	defaultQueuePercent = 100
-	// minRetryAfter is the least wait suggested to a caller; sooner, nothing can
-	// have changed.
-	minRetryAfter = 50 * time.Millisecond
 )
 
 // limiter gives out the slots of one backend server. Safe for concurrent use.
@@ -322,13 +318,10 @@
 	return time.Duration(float64(l.work.Expect(route)) * l.moments.Now(time.Now()).Stretch)
 }
 
-// retryAfter is the wait to suggest to a caller who is turned away: the time in
-// which the queue drains, spread by half to either side so that those turned away
-// together don't come back together.
+// retryAfter is the wait to suggest to a caller who is turned away.
 func (l *limiter) retryAfter() time.Duration {
 	l.mu.Lock()
 	wait := l.queue.ExpectedWait()
 	l.mu.Unlock()
-	wait = max(wait, minRetryAfter)
-	return wait/2 + rand.N(wait)
+	return admission.RetryAfter(wait)
 }
