--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/peer"
+	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/standin/authority"
-	"github.com/egretfield/egretfield/internal/wire"
 )
 
 const testKey = "tls-test-shared-key-012345"
@@ -58,9 +58,9 @@
 		So(err, ShouldBeNil)
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
-		server := wire.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "whole") }))
+		server := pipeline.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "whole") }), pipeline.Options{})
 		defer server.Close()
-		go server.Serve(wire.NewCallerListener(tls.NewListener(listener, config)))
+		go server.Serve(tls.NewListener(listener, config))
 
 		roots, err := loadCAPool(ca.CAFile())
 		So(err, ShouldBeNil)
--- a/internal/entry/badinput_test.go
+++ b/internal/entry/badinput_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/entry"
+	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/standin/virtualtime"
 	"github.com/egretfield/egretfield/internal/wire"
 )
@@ -151,11 +152,11 @@
 		virtualtime.Test(t, func(t *testing.T) {
 			h := entry.New(entry.Options{BalancerFor: func(string) balance.Balancer { return &orderedBalancer{} }})
 			h.SetRoutes(entry.NewRoutes(testConfig, ""))
-			server := wire.NewServer(h)
+			server := pipeline.NewServer(h, pipeline.Options{})
 			l := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
 			clientEnd, serverEnd := net.Pipe()
 			l.conns <- serverEnd
-			go server.Serve(wire.NewCallerListener(l))
+			go server.Serve(l)
 			start := time.Now()
 			go io.WriteString(clientEnd, slow.raw)
 			answer, _ := io.ReadAll(clientEnd)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/wire"
 )
 
@@ -332,7 +333,7 @@
 func (x *exchange) writeAnswer(answer *wire.Answer) {
 	x.countAnswer(answer)
 	x.logRequest(answer)
-	if x.hasUnreadBody() || x.handler.stopBy.Load() != nil {
+	if (x.hasUnreadBody() || x.handler.stopBy.Load() != nil) && pipeline.CloseAfter(x.r) {
 		x.w.Header()["Connection"] = []string{"close"}
 	}
 	if answer.Kind != 0 {
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -20,8 +20,8 @@
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/gate"
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/quarantine"
-	"github.com/egretfield/egretfield/internal/wire"
 )
 
 // orderedBalancer picks the first untried endpoint and records all results.
@@ -99,14 +99,14 @@
 	closers  []func()
 }
 
-// serveOn serves handler on a loopback socket with the limits of wire.NewServer.
+// serveOn serves handler on a loopback socket with the limits of pipeline.NewServer.
 func serveOn(handler http.Handler) (addr string, closer func()) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	server := wire.NewServer(handler)
-	go server.Serve(wire.NewCallerListener(l))
+	server := pipeline.NewServer(handler, pipeline.Options{})
+	go server.Serve(l)
 	return l.Addr().String(), func() { server.Close() }
 }
 
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -13,6 +13,7 @@
 
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/wire"
 )
 
@@ -31,7 +32,7 @@
 // prepare validates the request and builds the call. It returns a refusal if the
 // request can't be sent.
 func (x *exchange) prepare() *wire.Answer {
-	x.startTime = time.Now()
+	x.startTime = pipeline.ArrivedAt(x.r)
 	x.expectsContinue = len(x.r.Header["Expect"]) > 0
 	x.setRequestID()
 	x.waitUntilStarted()
@@ -64,6 +65,11 @@
 	if err := x.validate(found.path, routes); err != nil {
 		return errorAnswer(err)
 	}
+	if !x.call.Idempotent {
+		if err := pipeline.AwaitTurn(x.r); err != nil {
+			return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_CANCELLED, err.Error())
+		}
+	}
 	x.sanitizeHeader()
 	if err := x.prepareBody(); err != nil {
 		return errorAnswer(err)
@@ -128,7 +134,7 @@
 	if size := headerSize(x.r); size > routes.limits.headerBytes {
 		return errkind.New(pb.ErrorKind_ERROR_KIND_HEADERS_TOO_LARGE, "the request header has %d bytes, the limit is %d", size, routes.limits.headerBytes)
 	}
-	if err := wire.CheckFraming(x.r); err != nil {
+	if err := pipeline.CheckFraming(x.r); err != nil {
 		return err
 	}
 	if x.r.Method == http.MethodConnect {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/egretfield/egretfield/internal/once"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/peer"
+	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/platformlog"
 	"github.com/egretfield/egretfield/internal/quarantine"
 	"github.com/egretfield/egretfield/internal/settings"
@@ -101,7 +102,8 @@
 	receiver        *announce.Receiver
 	drain           *drainer
 
-	callerHTTP, gateHTTP, opsHTTP, announceHTTP *http.Server
+	callerHTTP                      *pipeline.Server
+	gateHTTP, opsHTTP, announceHTTP *http.Server
 	// readyHTTP is nil without a platform.
 	readyHTTP *http.Server
 
@@ -335,10 +337,17 @@
 	}
 }
 
+// httpServer is what the node needs of its HTTP servers.
+type httpServer interface {
+	Serve(l net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
 // httpServers pairs each HTTP server with its socket.
-func (n *Node) httpServers() map[*http.Server]net.Listener {
-	servers := map[*http.Server]net.Listener{
-		n.callerHTTP:   wire.NewCallerListener(n.sockets.callerTLS),
+func (n *Node) httpServers() map[httpServer]net.Listener {
+	servers := map[httpServer]net.Listener{
+		n.callerHTTP:   n.sockets.callerTLS,
 		n.gateHTTP:     n.sockets.gate,
 		n.opsHTTP:      n.sockets.ops,
 		n.announceHTTP: n.sockets.announce,
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -14,6 +14,7 @@
 	"github.com/egretfield/egretfield/internal/ctl"
 	"github.com/egretfield/egretfield/internal/gate"
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/wire"
 )
 
@@ -69,11 +70,12 @@
 
 // makeHTTPServers creates the HTTP servers. Run starts them.
 func (n *Node) makeHTTPServers(options Options) error {
-	n.callerHTTP = wire.NewServer(n.entry)
+	n.callerHTTP = pipeline.NewServer(n.entry, pipeline.Options{
+		Logger: n.logger.Named("callers"),
+		Meter:  options.Metrics.Meter(),
+	})
 	n.gateHTTP = wire.NewServer(n.gate)
-	for _, server := range []*http.Server{n.callerHTTP, n.gateHTTP} {
-		server.ErrorLog = discardLog(n.logger)
-	}
+	n.gateHTTP.ErrorLog = discardLog(n.logger)
 	n.announceHTTP = newHTTPServer(n.announceHandler(), n.logger.Named("announce"))
 	if n.platform != nil {
 		n.readyHTTP = newHTTPServer(n.platform.ReadyHandler(n.acceptsCallers), n.logger.Named("ready"))
--- /dev/null
+++ b/internal/pipeline/queue.go
@@ -0,0 +1,119 @@
+package pipeline
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+)
+
+// queued is a request that is served while requests before it on its connection are.
+type queued struct {
+	conn    *conn
+	request *http.Request
+	cancel  context.CancelFunc
+	arrived time.Time
+	// turn is closed when the answers before this one are written.
+	turn chan struct{}
+}
+
+// startAheadLocked starts the requests at the front of pending that may be served ahead.
+func (c *conn) startAheadLocked() {
+	for !c.noMore && c.ended == nil && c.framer.state == ended && len(c.queue) < c.server.options.Depth {
+		if c.busy == false && len(c.queue) == 0 {
+			return // net/http reads the next request
+		}
+		head, ok := c.nextHeadLocked()
+		if !ok || !c.server.acquire() {
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+		if err != nil {
+			// net/http refuses the request when it reads it.
+			c.server.release()
+			return
+		}
+		q := &queued{conn: c, request: request, arrived: c.pending.arrival(), turn: make(chan struct{})}
+		c.noMore = c.ahead.head.closes
+		c.pending.discard(len(head))
+		c.ahead, c.scanned = newFramer(maxHeadBytes), 0
+		ctx, cancel := context.WithCancel(context.WithValue(c.ctx, placeKey{}, place(q)))
+		q.cancel = cancel
+		q.request = request.WithContext(ctx)
+		q.request.RemoteAddr = c.RemoteAddr().String()
+		c.queue = append(c.queue, q)
+		go q.serve()
+	}
+}
+
+// nextHeadLocked returns the first pending request if it may be served ahead.
+func (c *conn) nextHeadLocked() ([]byte, bool) {
+	if c.ahead.state != ended {
+		n, err := c.ahead.scan(c.pending.bytes()[c.scanned:])
+		c.scanned += n
+		if err != nil {
+			return nil, false
+		}
+	}
+	return c.pending.bytes()[:c.scanned], c.ahead.mayRunAhead()
+}
+
+// serve runs the handler and delivers its answer.
+func (q *queued) serve() {
+	defer q.cancel()
+	w := newAnswerWriter(q)
+	whole := q.conn.server.runHandler(w, q.request) && w.finish() == nil
+	q.conn.completed(q, whole, w.closes())
+}
+
+// completed removes a request from the queue. After a broken answer, or one that
+// announces the end of the connection, the connection closes.
+func (c *conn) completed(q *queued, whole, closes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.server.release()
+	for i, other := range c.queue {
+		if other == q {
+			c.queue = append(c.queue[:i:i], c.queue[i+1:]...)
+			break
+		}
+	}
+	c.lastUsed = time.Now()
+	if !whole || closes {
+		c.noMore = true
+	}
+	switch {
+	case !whole, c.closing && len(c.queue) == 0:
+		_ = c.closeLocked() // the connection is given up
+		return
+	case len(c.queue) > 0:
+		close(c.queue[0].turn)
+	}
+	c.startAheadLocked()
+	c.interruptLocked()
+}
+
+// awaitTurn implements place.
+func (q *queued) awaitTurn(ctx context.Context) error {
+	select {
+	case <-q.turn:
+		return nil
+	case <-ctx.Done():
+		return errClosedAhead
+	}
+}
+
+// arrivedAt implements place.
+func (q *queued) arrivedAt() time.Time { return q.arrived }
+
+// ambiguity implements place. Requests that are served ahead have no body.
+func (q *queued) ambiguity() string { return "" }
+
+// closeAfter implements place.
+func (q *queued) closeAfter() bool {
+	q.conn.mu.Lock()
+	defer q.conn.mu.Unlock()
+	q.conn.noMore = true
+	return q.conn.queue[len(q.conn.queue)-1] == q
+}
--- /dev/null
+++ b/internal/pipeline/server.go
@@ -0,0 +1,265 @@
+// Package pipeline serves callers over HTTP/1.1. It puts a layer between a caller's
+// connection and net/http that finds the ends of requests, so that net/http has one
+// request at a time and the connection is still watched while that is served. Requests
+// of safe methods that arrive behind it are served at the same time; their answers are
+// written in the order of the requests.
+package pipeline
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+	"go.uber.org/zap"
+
+	"github.com/egretfield/egretfield/internal/delay"
+	"github.com/egretfield/egretfield/internal/wire"
+)
+
+// maxHeadBytes is the size of a head above which no more of it is passed to net/http. It
+// is larger than what net/http reads, so that net/http refuses the request.
+const maxHeadBytes = wire.MaxHeaderBytes + 16<<10
+
+// Defaults of Options.
+const (
+	// DefaultDepth is low enough that a caller can't take a large share of a service by
+	// pipelining.
+	DefaultDepth = 8
+	// DefaultConcurrent times DefaultAnswerBytes limits the memory of answers that wait.
+	DefaultConcurrent  = 256
+	DefaultUnreadBytes = 64 << 10
+	DefaultAnswerBytes = 64 << 10
+)
+
+const (
+	// newConnTimeout is how long a stopping server waits for the first request on a
+	// connection that was just accepted.
+	newConnTimeout = time.Second
+	// acceptPause without a new connection is taken as the end of the listener's queue.
+	acceptPause = 50 * time.Millisecond
+	// maxAcceptWait limits the wait for that pause.
+	maxAcceptWait = 500 * time.Millisecond
+	// stopPoll is the interval at which a stopping server looks at its connections.
+	stopPoll = 10 * time.Millisecond
+)
+
+// Options are the limits of a Server. Zero means the default.
+type Options struct {
+	// Depth is the number of requests of a connection that are served ahead of their
+	// turn; negative means none.
+	Depth int
+	// Concurrent limits the requests of all connections that are served ahead.
+	Concurrent int
+	// UnreadBytes limits the bytes of later requests that are kept for a connection.
+	UnreadBytes int
+	// AnswerBytes is the size up to which an answer waits for its turn in memory. A
+	// longer one waits at its server.
+	AnswerBytes int
+	// Logger receives panics of the handler; nil disables logging.
+	Logger *zap.Logger
+	// Meter creates the metrics; nil disables them.
+	Meter metric.Meter
+}
+
+func (o *Options) setDefaults() {
+	for _, option := range []struct {
+		value        *int
+		defaultValue int
+	}{
+		{&o.Depth, DefaultDepth},
+		{&o.Concurrent, DefaultConcurrent},
+		{&o.UnreadBytes, DefaultUnreadBytes},
+		{&o.AnswerBytes, DefaultAnswerBytes},
+	} {
+		if *option.value == 0 {
+			*option.value = option.defaultValue
+		}
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+}
+
+// Server is an HTTP server for callers.
+type Server struct {
+	http    *http.Server
+	handler http.Handler
+	options Options
+	// slots holds an element for each request that is served ahead.
+	slots        chan struct{}
+	servedAhead  atomic.Int64
+	panics       atomic.Int64
+	lastAccepted atomic.Int64 // Unix nanoseconds
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// NewServer returns a server with the limits of the request path.
+func NewServer(handler http.Handler, options Options) *Server {
+	options.setDefaults()
+	s := &Server{handler: handler, options: options, slots: make(chan struct{}, options.Concurrent), conns: map[*conn]struct{}{}}
+	s.http = wire.NewServer(http.HandlerFunc(s.serveSequential))
+	s.http.ErrorLog = zap.NewStdLog(options.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
+	s.http.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		if c, ok := nc.(*conn); ok {
+			return context.WithValue(ctx, placeKey{}, place(c))
+		}
+		return ctx
+	}
+	s.http.ConnState = func(nc net.Conn, state http.ConnState) {
+		if c, ok := nc.(*conn); ok && state == http.StateIdle {
+			c.answered()
+		}
+	}
+	s.registerMetrics(options.Meter)
+	return s
+}
+
+// Serve accepts connections until the server is shut down or closed.
+func (s *Server) Serve(l net.Listener) error {
+	return s.http.Serve(&listener{Listener: l, server: s})
+}
+
+// listener wraps accepted connections.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(nc, l.server)
+	l.server.lastAccepted.Store(time.Now().UnixNano())
+	l.server.mu.Lock()
+	l.server.conns[c] = struct{}{}
+	l.server.mu.Unlock()
+	return c, nil
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// serveSequential serves a request that net/http has read.
+func (s *Server) serveSequential(w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(placeKey{}).(*conn)
+	if !ok {
+		s.handler.ServeHTTP(w, r)
+		return
+	}
+	c.mu.Lock()
+	c.handled = true
+	c.mu.Unlock()
+	if !s.runHandler(w, r) {
+		c.mu.Lock()
+		c.aborted = true
+		c.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// runHandler serves a request. It returns false if the handler panicked: the answer is
+// not complete.
+func (s *Server) runHandler(w http.ResponseWriter, r *http.Request) (complete bool) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		complete = false
+		if cause != http.ErrAbortHandler {
+			s.panics.Add(1)
+			s.options.Logger.Error("panic while serving a request", zap.Any("panic", cause), zap.ByteString("stack", debug.Stack()))
+		}
+	}()
+	s.handler.ServeHTTP(w, r)
+	return true
+}
+
+// acquire takes a slot for a request that is served ahead.
+func (s *Server) acquire() bool {
+	select {
+	case s.slots <- struct{}{}:
+		s.servedAhead.Add(1)
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Server) release() { <-s.slots }
+
+// Shutdown stops the server without breaking off a request: it accepts what waits at
+// the listener, closes connections when they have no request, and returns once all are
+// closed. The handler's answers must announce the end of their connection by then
+// (CloseAfter). The connections that are left when ctx ends are closed by Close.
+func (s *Server) Shutdown(ctx context.Context) error {
+	stopped := time.Now()
+	for time.Since(time.Unix(0, s.lastAccepted.Load())) < acceptPause && time.Since(stopped) < maxAcceptWait {
+		if !delay.Sleep(ctx, stopPoll) {
+			break
+		}
+	}
+	for s.closeIdle() > 0 {
+		if !delay.Sleep(ctx, stopPoll) {
+			break
+		}
+	}
+	return s.http.Shutdown(ctx)
+}
+
+// closeIdle closes the connections without a request and returns the number of the
+// others. A connection that was used a moment ago may carry a request on its way.
+func (s *Server) closeIdle() int {
+	s.mu.Lock()
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		if c.isIdle(time.Now().Add(-newConnTimeout)) {
+			_ = c.Close() // the connection has no request
+		}
+	}
+	return len(conns)
+}
+
+// Close closes the server and its connections at once.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
+
+// registerMetrics creates the server's counters.
+func (s *Server) registerMetrics(meter metric.Meter) {
+	if meter == nil {
+		return
+	}
+	ahead, _ := meter.Int64ObservableCounter("egretfield.callers.pipelined", metric.WithDescription("Requests served while a request before them on their connection was."))
+	panics, _ := meter.Int64ObservableCounter("egretfield.callers.panics", metric.WithDescription("Requests that ended with a panic of the handler."))
+	connections, _ := meter.Int64ObservableGauge("egretfield.callers.connections", metric.WithDescription("Open connections of callers."))
+	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s.mu.Lock()
+		open := len(s.conns)
+		s.mu.Unlock()
+		o.ObserveInt64(ahead, s.servedAhead.Load())
+		o.ObserveInt64(panics, s.panics.Load())
+		o.ObserveInt64(connections, int64(open))
+		return nil
+	}, ahead, panics, connections)
+	if err != nil {
+		s.options.Logger.Error("registering metrics of callers' connections failed", zap.Error(err))
+	}
+}
--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -40,7 +40,7 @@
 func (a *Answer) WriteError(w http.ResponseWriter, idHeader, requestID string) {
 	kind, message := a.Kind, a.Message
 	properties := errkind.Of(kind)
-	body, _ := json.Marshal(errorBody(properties, message, requestID)) // strings always marshal
+	body, _ := json.Marshal(NewErrorBody(properties, message, requestID)) // strings always marshal
 	header := w.Header()
 	header[HeaderError] = []string{properties.Name}
 	header[HeaderRun] = []string{RunName(properties.Run)}
@@ -59,6 +59,7 @@
 	_, _ = w.Write(body) // fails only if the caller disconnected
 }
 
-func errorBody(properties errkind.Properties, message, requestID string) ErrorBody {
+// NewErrorBody returns the body of an answer made by the system.
+func NewErrorBody(properties errkind.Properties, message, requestID string) ErrorBody {
 	return ErrorBody{Kind: properties.Name, Run: RunName(properties.Run), Message: message, RequestID: requestID}
 }
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -1,8 +1,6 @@
 package wire
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"time"
 )
@@ -20,16 +18,12 @@
 	ServerIdleTimeout = 90 * time.Second
 )
 
-// NewServer returns an HTTP server with the limits of the request path. It must serve a
-// listener made by NewCallerListener; otherwise CheckFraming checks nothing.
+// NewServer returns an HTTP server with the limits of the request path.
 func NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: ReadHeaderTimeout,
 		MaxHeaderBytes:    MaxHeaderBytes,
 		IdleTimeout:       ServerIdleTimeout,
-		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
-			return withCallerConn(ctx, nc)
-		},
 	}
 }
