Callers: pipelined requests whole, in order, and safe ones served ahead of their turn

Change: internal/pipeline finds the end of each request, hands net/http one at a time, goes on reading behind it, and serves safe requests ahead; their answers are written in order.

--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -118,6 +118,7 @@
 		{PathPrefix: "/short", DeadlineMs: 500},
 		{PathPrefix: "/keyed", RequireKey: true},
 		{PathPrefix: "/small", MaxBodyBytes: 100},
+		{PathPrefix: "/once", Idempotent: proto.Bool(false)},
 	},
 }}}
 
--- a/internal/pipeline/answer.go
+++ b/internal/pipeline/answer.go
@@ -140,6 +140,9 @@
 	if w.header["Date"] == nil {
 		w.header["Date"] = []string{time.Now().UTC().Format(http.TimeFormat)}
 	}
+	if w.q.request.Close {
+		w.header["Connection"] = []string{"close"}
+	}
 	delete(w.header, "Transfer-Encoding")
 	switch {
 	case !w.hasBody() || w.length >= 0:
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -103,6 +103,9 @@
 			c.mu.Unlock()
 			return n, err
 		}
+		if !deliver {
+			c.startAheadLocked()
+		}
 		err := c.ended
 		if c.framer.head.ambiguous != "" && c.framer.state == ended && c.busy {
 			err = io.EOF // what stands behind may be a part of the request
@@ -209,7 +212,6 @@
 	if n > 0 {
 		c.pipelined = true
 		c.pending.add(data[:n], now)
-		c.startAheadLocked()
 		return nil
 	}
 	if c.resumeLocked(err) {
--- a/internal/pipeline/queue.go
+++ b/internal/pipeline/queue.go
@@ -21,7 +21,7 @@
 // startAheadLocked starts the requests at the front of pending that may be served ahead.
 func (c *conn) startAheadLocked() {
 	for !c.noMore && c.ended == nil && c.framer.state == ended && len(c.queue) < c.server.options.Depth {
-		if c.busy == false && len(c.queue) == 0 {
+		if c.mayBeginLocked() {
 			return // net/http reads the next request
 		}
 		head, ok := c.nextHeadLocked()
@@ -90,7 +90,6 @@
 	case len(c.queue) > 0:
 		close(c.queue[0].turn)
 	}
-	c.startAheadLocked()
 	c.interruptLocked()
 }
 
