--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -71,8 +71,12 @@
 // makeHTTPServers creates the HTTP servers. Run starts them.
 func (n *Node) makeHTTPServers(options Options) error {
 	n.callerHTTP = pipeline.NewServer(n.entry, pipeline.Options{
-		Logger: n.logger.Named("callers"),
-		Meter:  options.Metrics.Meter(),
+		Depth:       int(n.settings.GetPipelining().GetDepth()),
+		Concurrent:  int(n.settings.GetPipelining().GetConcurrent()),
+		UnreadBytes: int(n.settings.GetPipelining().GetUnreadKib()) << 10,
+		AnswerBytes: int(n.settings.GetPipelining().GetAnswerKib()) << 10,
+		Logger:      n.logger.Named("callers"),
+		Meter:       options.Metrics.Meter(),
 	})
 	n.gateHTTP = wire.NewServer(n.gate)
 	n.gateHTTP.ErrorLog = discardLog(n.logger)
--- a/internal/pipeline/queue.go
+++ b/internal/pipeline/queue.go
@@ -64,6 +64,10 @@
 	defer q.cancel()
 	w := newAnswerWriter(q)
 	whole := q.conn.server.runHandler(w, q.request) && w.finish() == nil
+	if !whole {
+		// The connection closes, but the answers before this one are delivered.
+		_ = q.awaitTurn(q.request.Context()) // fails if the connection is closed already
+	}
 	q.conn.completed(q, whole, w.closes())
 }
 
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -40,12 +40,12 @@
 	// newConnTimeout is how long a stopping server waits for the first request on a
 	// connection that was just accepted.
 	newConnTimeout = time.Second
-	// acceptPause without a new connection is taken as the end of the listener's queue.
-	acceptPause = 50 * time.Millisecond
-	// maxAcceptWait limits the wait for that pause.
-	maxAcceptWait = 500 * time.Millisecond
 	// stopPoll is the interval at which a stopping server looks at its connections.
 	stopPoll = 10 * time.Millisecond
+	// After quietPolls looks without a new connection, the listener's queue is taken to be
+	// empty; maxAcceptPolls limits the wait for that.
+	quietPolls     = 5
+	maxAcceptPolls = 50
 )
 
 // Options are the limits of a Server. Zero means the default.
@@ -91,13 +91,16 @@
 	handler http.Handler
 	options Options
 	// slots holds an element for each request that is served ahead.
-	slots        chan struct{}
-	servedAhead  atomic.Int64
-	panics       atomic.Int64
-	lastAccepted atomic.Int64 // Unix nanoseconds
+	slots       chan struct{}
+	servedAhead atomic.Int64
+	panics      atomic.Int64
+	accepted    atomic.Int64 // connections
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// listeners are the listeners in use; nil once the server is stopping.
+	listeners []*listener
+	stopping  bool
 }
 
 // NewServer returns a server with the limits of the request path.
@@ -121,15 +124,35 @@
 	return s
 }
 
-// Serve accepts connections until the server is shut down or closed.
+// Serve accepts connections until the server is shut down or closed. It then returns
+// http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(&listener{Listener: l, server: s})
+	wrapped := &listener{Listener: l, server: s}
+	s.mu.Lock()
+	s.listeners = append(s.listeners, wrapped)
+	s.mu.Unlock()
+	err := s.http.Serve(wrapped)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return http.ErrServerClosed
+	}
+	return err
 }
 
 // listener wraps accepted connections.
 type listener struct {
 	net.Listener
-	server *Server
+	server   *Server
+	once     sync.Once
+	closeErr error
+}
+
+// Close implements net.Listener. Both Server and http.Server close a listener; only the
+// first call has an effect.
+func (l *listener) Close() error {
+	l.once.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
 }
 
 // Accept implements net.Listener.
@@ -139,7 +162,7 @@
 		return nil, err
 	}
 	c := newConn(nc, l.server)
-	l.server.lastAccepted.Store(time.Now().UnixNano())
+	l.server.accepted.Add(1)
 	l.server.mu.Lock()
 	l.server.conns[c] = struct{}{}
 	l.server.mu.Unlock()
@@ -206,12 +229,18 @@
 // closed. The handler's answers must announce the end of their connection by then
 // (CloseAfter). The connections that are left when ctx ends are closed by Close.
 func (s *Server) Shutdown(ctx context.Context) error {
-	stopped := time.Now()
-	for time.Since(time.Unix(0, s.lastAccepted.Load())) < acceptPause && time.Since(stopped) < maxAcceptWait {
-		if !delay.Sleep(ctx, stopPoll) {
-			break
+	s.awaitQuietListener(ctx)
+	s.mu.Lock()
+	s.stopping = true
+	listeners := s.listeners
+	s.listeners = nil
+	s.mu.Unlock()
+	for _, l := range listeners {
+		if err := l.Close(); err != nil {
+			s.options.Logger.Warn("callers' listener not closed", zap.Error(err))
 		}
 	}
+	// http.Server.Shutdown drops requests that are read meanwhile, so it comes last.
 	for s.closeIdle() > 0 {
 		if !delay.Sleep(ctx, stopPoll) {
 			break
@@ -220,6 +249,17 @@
 	return s.http.Shutdown(ctx)
 }
 
+// awaitQuietListener waits until the connections that wait at the listener are accepted.
+func (s *Server) awaitQuietListener(ctx context.Context) {
+	accepted, quiet := s.accepted.Load(), 0
+	for polls := 0; quiet < quietPolls && polls < maxAcceptPolls && delay.Sleep(ctx, stopPoll); polls++ {
+		quiet++
+		if now := s.accepted.Load(); now != accepted {
+			accepted, quiet = now, 0
+		}
+	}
+}
+
 // closeIdle closes the connections without a request and returns the number of the
 // others. A connection that was used a moment ago may carry a request on its way.
 func (s *Server) closeIdle() int {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -25,6 +25,12 @@
 	minMemoryMiB      = 32
 	minRetentionS     = 4200
 	maxSeeds          = 64
+
+	maxPipelineDepth      = 64
+	maxPipelineConcurrent = 4096
+	// A read of later requests takes up to 4 KiB.
+	minPipelineUnreadKiB = 4
+	maxPipelineKiB       = 1024
 )
 
 var (
@@ -82,6 +88,10 @@
 	c.oneOf("log_format", settings.GetLogFormat(), logFormats)
 	c.between("gc_percent", settings.GetGcPercent(), minGCPercent, maxGCPercent)
 	c.between("max_procs", settings.GetMaxProcs(), 1, maxMaxProcs)
+	c.between("pipelining.depth", settings.GetPipelining().GetDepth(), 1, maxPipelineDepth)
+	c.between("pipelining.concurrent", settings.GetPipelining().GetConcurrent(), 1, maxPipelineConcurrent)
+	c.between("pipelining.unread_kib", settings.GetPipelining().GetUnreadKib(), minPipelineUnreadKiB, maxPipelineKiB)
+	c.between("pipelining.answer_kib", settings.GetPipelining().GetAnswerKib(), 1, maxPipelineKiB)
 	c.atLeast("memory_limit_mib", settings.GetMemoryLimitMib(), minMemoryMiB)
 	c.atLeast("log_retention_s", settings.GetLogRetentionS(), minRetentionS)
 	return c.problems
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 	"github.com/egretfield/egretfield/internal/defaults"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/yamlpb"
 )
 
@@ -88,4 +89,11 @@
 	defaults.Set(&settings.StopTimeout, DefaultStopTimeout)
 	defaults.Set(&settings.CallerNotice, settings.GetDrainNotice())
 	defaults.Set(&settings.MetricsPath, DefaultMetricsPath)
+	if settings.Pipelining == nil {
+		settings.Pipelining = &pb.PipeliningSettings{}
+	}
+	defaults.Set(&settings.Pipelining.Depth, pipeline.DefaultDepth)
+	defaults.Set(&settings.Pipelining.Concurrent, pipeline.DefaultConcurrent)
+	defaults.Set(&settings.Pipelining.UnreadKib, pipeline.DefaultUnreadBytes>>10)
+	defaults.Set(&settings.Pipelining.AnswerKib, pipeline.DefaultAnswerBytes>>10)
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -28,6 +28,10 @@
 		So(settings.GetMemoryLimitMib(), ShouldEqual, 256)
 		So(settings.GetMaxProcs(), ShouldEqual, DefaultMaxProcs)
 		So(settings.GetLogRetentionS(), ShouldEqual, 7200)
+		So(settings.GetPipelining().GetDepth(), ShouldEqual, 8)
+		So(settings.GetPipelining().GetConcurrent(), ShouldEqual, 256)
+		So(settings.GetPipelining().GetUnreadKib(), ShouldEqual, 64)
+		So(settings.GetPipelining().GetAnswerKib(), ShouldEqual, 64)
 	})
 	Convey("Each error names the line and what was expected", t, func() {
 		for text, line := range map[string]string{
@@ -39,6 +43,8 @@
 			"caller_tls: {cert_file: c}":         "n.yaml:6:13: caller_tls.key_file: expected the file of the private key",
 			"log_level: loud":                    `n.yaml:6:12: log_level: got "loud", expected one of debug, info, warn, error`,
 			"max_procs: 1000":                    "n.yaml:6:12: max_procs: got 1000, expected 1 to 256",
+			"pipelining: {depth: 65}":            "n.yaml:6:21: pipelining.depth: got 65, expected 1 to 64",
+			"pipelining: {unread_kib: 2}":        "n.yaml:6:26: pipelining.unread_kib: got 2, expected 4 to 1024",
 			"gc_percent: 5":                      "n.yaml:6:13: gc_percent: got 5, expected 25 to 2000",
 			"memory_limit_mib: 1":                "n.yaml:6:19: memory_limit_mib: got 1, expected at least 32",
 			"log_retention_s: 5":                 "n.yaml:6:18: log_retention_s: got 5, expected at least 4200",
