egretload: requests pipelined on shared connections, with a check of the answers' order

Option -pipeline and setting pipeline of an experiment (1 to 64); the report counts answers out of order. The soak's callers of odd seeds pipeline 4 requests.

--- a/cmd/egretload/load.go
+++ b/cmd/egretload/load.go
@@ -20,7 +20,7 @@
 	rate                       float64
 	duration, timeout          time.Duration
 	orders, uploads, lookups   uint
-	depth, resends             uint
+	depth, resends, pipeline   uint
 	answerBytes                uint64
 	seed                       uint64
 	output                     string
@@ -41,6 +41,7 @@
 	flags.UintVar(&f.lookups, "lookups", 0, "share of lookup chains, percent")
 	flags.UintVar(&f.depth, "depth", 3, "depth of lookup chains")
 	flags.UintVar(&f.resends, "resends", 0, "number of times that an order is sent again with its key")
+	flags.UintVar(&f.pipeline, "pipeline", 1, "idempotent requests that share a connection, sent before the answers ahead of them (1 to 64)")
 	flags.Uint64Var(&f.answerBytes, "answer-bytes", 0, "length of answers (0: the server's)")
 	flags.Uint64Var(&f.seed, "seed", 1, "seed of the random mix of operations")
 	flags.StringVar(&f.output, "o", "table", "output: table or json")
@@ -65,6 +66,8 @@
 		return "-target: expected at least one address, got none"
 	case f.output != "table" && f.output != "json":
 		return fmt.Sprintf("-o: expected table or json, got %q", f.output)
+	case f.pipeline < 1 || f.pipeline > loadgen.MaxPipeline:
+		return fmt.Sprintf("-pipeline: expected 1 to %d, got %d", loadgen.MaxPipeline, f.pipeline)
 	case f.orders+f.uploads+f.lookups > 100:
 		return "-orders, -uploads and -lookups: expected at most 100 percent in all, got more"
 	}
@@ -77,6 +80,7 @@
 		Name:      "egretload",
 		Seed:      f.seed,
 		Resends:   uint32(f.resends),
+		Pipeline:  uint32(f.pipeline),
 		TimeoutMs: uint32(f.timeout.Milliseconds()),
 		Steps:     []*pb.Step{{DurationS: f.duration.Seconds(), Rate: f.rate}},
 	}
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -51,6 +51,8 @@
 
 const (
 	soakRate = 150 // operations per second
+	// Callers of odd seeds send this many requests on a connection before the answers.
+	soakPipeline = 4
 	// soakRecoverySeconds is the duration of the load after the faults; all of it
 	// has to be answered.
 	soakRecoverySeconds = 2
@@ -305,6 +307,9 @@
 	steps, planned := schedule(seed, *soakInstances, *soakDuration)
 	experiment := s.experiment(0, s.instances)
 	experiment.Seed = seed
+	if seed%2 == 1 {
+		experiment.Pipeline = soakPipeline
+	}
 	experiment.Steps = logFaultSteps(seed, int(soakDuration.Seconds()), planned)
 	if planned {
 		// Planned work has no fixed duration: allow 9 s for each action.
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -60,8 +60,14 @@
 	reconnects atomic.Uint64
 	buffers    sync.Pool
 
-	mu    sync.Mutex
-	pools map[string]*pool
+	// depth is the number of requests that may share a connection; 1: no pipelining.
+	depth      int
+	pipelined  atomic.Uint64
+	outOfOrder atomic.Uint64
+
+	mu       sync.Mutex
+	pools    map[string]*pool
+	sharings map[string]*sharing
 }
 
 const bodyBufferBytes = 32 << 10
@@ -74,9 +80,11 @@
 // waiting for the answer.
 const asyncBodyBytes = 64 << 10
 
-// NewCaller returns a caller that allows each attempt the given time.
-func NewCaller(timeout time.Duration) *Caller {
-	c := &Caller{timeout: timeout, pools: map[string]*pool{}}
+// NewCaller returns a caller that allows each attempt the given time and sends up to depth
+// idempotent requests without a body on a connection before their answers; depth 0 or 1
+// is no pipelining.
+func NewCaller(timeout time.Duration, depth int) *Caller {
+	c := &Caller{timeout: timeout, depth: depth, pools: map[string]*pool{}, sharings: map[string]*sharing{}}
 	c.buffers.New = func() any { return new([bodyBufferBytes]byte) }
 	return c
 }
@@ -88,6 +96,9 @@
 	for _, p := range c.pools {
 		p.close()
 	}
+	for _, s := range c.sharings {
+		s.close()
+	}
 }
 
 func (c *Caller) pool(address string) *pool {
@@ -102,15 +113,21 @@
 }
 
 // Do sends one attempt. An idempotent operation is sent once more, over another
-// connection, if a reused connection turns out to be closed.
+// connection, if a reused connection turns out to be closed; on shared connections
+// as often as requests may share one.
 func (c *Caller) Do(ctx context.Context, target Target, o *Operation) Result {
 	begin := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, begin.Add(c.timeout+answerGracePeriod))
 	defer cancel()
-	result, stale := c.attempt(ctx, target, o)
-	if stale && o.IsIdempotent() {
+	attempt := c.attempt
+	if c.depth > 1 && o.IsIdempotent() && o.BodyBytes == 0 {
+		attempt = c.attemptPipelined
+	}
+	result, stale := attempt(ctx, target, o)
+	// On a shared connection, each answer that closes it ends those behind it.
+	for resends := 0; stale && o.IsIdempotent() && resends < max(c.depth, 1); resends++ {
 		c.reconnects.Add(1)
-		result, _ = c.attempt(ctx, target, o)
+		result, stale = attempt(ctx, target, o)
 		if result.Outcome == OutcomeNotRun {
 			// Only the second send is known not to have run; the first may have.
 			result.Outcome = OutcomeUnknown
--- a/internal/loadgen/caller_test.go
+++ b/internal/loadgen/caller_test.go
@@ -92,7 +92,7 @@
 	for _, c := range cases {
 		Convey("The caller recognises "+c.name, t, func() {
 			requests := &atomic.Int64{}
-			caller := NewCaller(testTimeout)
+			caller := NewCaller(testTimeout, 1)
 			defer caller.Close()
 			result := caller.Do(t.Context(), serveRaw(t, requests, c.answer), newBrowse())
 			So(result.Outcome, ShouldEqual, c.outcome)
@@ -103,12 +103,12 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		listener.Close()
-		result := NewCaller(testTimeout).Do(t.Context(), Target{Address: listener.Addr().String()}, newOrder())
+		result := NewCaller(testTimeout, 1).Do(t.Context(), Target{Address: listener.Addr().String()}, newOrder())
 		So(result.Outcome, ShouldEqual, OutcomeNotRun)
 	})
 	Convey("The result of a refusal has its request ID and its error kind", t, func() {
 		answer := rawRefusal("503 x", "Egret-Run: no\r\nEgret-Error: overloaded\r\nEgret-Request-Id: r-1\r\n")
-		result := NewCaller(testTimeout).Do(t.Context(), serveRaw(t, &atomic.Int64{}, answer), newOrder())
+		result := NewCaller(testTimeout, 1).Do(t.Context(), serveRaw(t, &atomic.Int64{}, answer), newOrder())
 		So(result.RequestID, ShouldEqual, "r-1")
 		So(result.Reason, ShouldEqual, "overloaded")
 	})
@@ -119,7 +119,7 @@
 	Convey("Given a server that closes a reused connection without an answer", t, func() {
 		requests := &atomic.Int64{}
 		target := serveRaw(t, requests, answer, "")
-		caller := NewCaller(testTimeout)
+		caller := NewCaller(testTimeout, 1)
 		defer caller.Close()
 		So(caller.Do(t.Context(), target, newBrowse()).Outcome, ShouldEqual, OutcomeAnswered)
 		Convey("a browse is sent again over a new connection", func() {
@@ -133,7 +133,7 @@
 		})
 	})
 	Convey("A connection is reused unless the server announces that it closes it", t, func() {
-		caller := NewCaller(testTimeout)
+		caller := NewCaller(testTimeout, 1)
 		defer caller.Close()
 		keeping := serveRaw(t, &atomic.Int64{}, answer, answer)
 		closing := serveRaw(t, &atomic.Int64{}, rawAnswer("op-1", "op-1", 4, "Connection: close\r\n"), answer)
@@ -200,7 +200,7 @@
 	Convey("A refusal that is sent before the end of an upload is received", t, func() {
 		target := refuseEarly(t)
 		o := newOperation(&pb.Traffic{Kind: "upload", Service: "s", BodyBytes: 64 << 20}, "op-1")
-		result := NewCaller(testTimeout).Do(t.Context(), target, o)
+		result := NewCaller(testTimeout, 1).Do(t.Context(), target, o)
 		So(result.Outcome, ShouldEqual, OutcomeNotRun)
 	})
 	Convey("A caller that times out closes its connection", t, func() {
@@ -210,7 +210,7 @@
 			close(closed)
 		}))
 		defer server.Close()
-		result := NewCaller(50*time.Millisecond).Do(t.Context(), Target{Address: server.Listener.Addr().String()}, newBrowse())
+		result := NewCaller(50*time.Millisecond, 1).Do(t.Context(), Target{Address: server.Listener.Addr().String()}, newBrowse())
 		So(result.Outcome, ShouldEqual, OutcomeUnknown)
 		So(result.Reason, ShouldEqual, "no answer: timeout")
 		<-closed
@@ -236,7 +236,7 @@
 			listener.Close()
 			connection.Close()
 		}()
-		caller := NewCaller(testTimeout)
+		caller := NewCaller(testTimeout, 1)
 		defer caller.Close()
 		target := Target{Address: listener.Addr().String()}
 		So(caller.Do(t.Context(), target, newBrowse()).Outcome, ShouldNotEqual, OutcomeNotRun)
--- a/internal/loadgen/experiment.go
+++ b/internal/loadgen/experiment.go
@@ -94,6 +94,9 @@
 			c.addProblem([]any{"mix", i, field}, "%s: %v", field, err)
 		}
 	}
+	if e.GetPipeline() > MaxPipeline {
+		c.addProblem([]any{"pipeline"}, "pipeline: want at most %d, got %d", MaxPipeline, e.GetPipeline())
+	}
 	if len(e.GetSteps()) == 0 {
 		c.addProblem([]any{"steps"}, "steps: want at least one")
 	}
--- a/internal/loadgen/pair.go
+++ b/internal/loadgen/pair.go
@@ -57,7 +57,7 @@
 	if options.Timeout <= 0 {
 		options.Timeout = defaultTimeout
 	}
-	caller := NewCaller(options.Timeout)
+	caller := NewCaller(options.Timeout, 1)
 	defer caller.Close()
 	p, err := newPairRunner(options, caller)
 	if err != nil {
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -170,4 +170,8 @@
 	fmt.Fprintf(b, "%d were not sent because too many were in flight. ", g.GetSkipped())
 	fmt.Fprintf(b, "It spent %.0f us of processor time an operation, made %d connections and sent %d idempotent requests again because an idle connection was closed.\n",
 		g.GetCpuUs(), g.GetConnections(), g.GetReconnects())
+	if g.GetPipelined() > 0 {
+		fmt.Fprintf(b, "%d requests were sent behind another on their connection; %d answers there came out of order or twice.\n",
+			g.GetPipelined(), g.GetOutOfOrder())
+	}
 }
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -50,7 +50,7 @@
 // collects the journals and determines the verdict. It fails if the experiment
 // is invalid, a server can't be reached before the load or a fault can't be set.
 func Run(ctx context.Context, experiment *pb.Experiment) (*pb.LoadRun, error) {
-	caller := NewCaller(timeoutOf(experiment))
+	caller := NewCaller(timeoutOf(experiment), int(experiment.GetPipeline()))
 	defer caller.Close()
 	r, err := newRunner(experiment, caller)
 	if err != nil {
@@ -70,6 +70,8 @@
 	run.Generator.CpuUs = cpuPerOperation(cpuTime()-cpu, run)
 	run.Generator.Connections = uint32(caller.dialled.Load())
 	run.Generator.Reconnects = uint32(caller.reconnects.Load())
+	run.Generator.Pipelined = uint32(caller.pipelined.Load())
+	run.Generator.OutOfOrder = uint32(caller.outOfOrder.Load())
 	journals := collector.collectUntilStable(context.WithoutCancel(ctx))
 	run.Verdict = buildVerdict(r.ledger.entries, journals, r.mix.idPrefix)
 	run.Verdict.Examples = append(run.Verdict.Examples, journals.Problems...)
