Stand-in server: a silent connection outlasts deadlines set after its close

Cause: net/http ends its background read with a deadline in the past; when that came after abandon had cleared the deadline, the discarding copy ended and closed the connection, so the caller saw EOF. Change: the copy goes on after a deadline.

--- a/internal/standin/backend/faults_test.go
+++ b/internal/standin/backend/faults_test.go
@@ -261,6 +261,27 @@
 	})
 }
 
+func TestSilenceOutlastsDeadlines(t *testing.T) {
+	Convey("A silent connection stays open when a deadline is set after its close", t, func() {
+		s := newServer(Options{})
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		listener := s.Listener(inner)
+		defer listener.Close()
+		client, err := net.Dial("tcp", inner.Addr().String())
+		So(err, ShouldBeNil)
+		defer client.Close()
+		conn, err := listener.Accept()
+		So(err, ShouldBeNil)
+		s.SetFaults(&pb.ServerFaults{Silence: true})
+		So(conn.Close(), ShouldBeNil)
+		So(conn.SetReadDeadline(time.Unix(1, 0)), ShouldBeNil)
+		So(client.SetReadDeadline(time.Now().Add(50*time.Millisecond)), ShouldBeNil)
+		_, err = client.Read(make([]byte, 1))
+		So(err, ShouldWrap, os.ErrDeadlineExceeded)
+	})
+}
+
 // roundTrip sends a request, reads the whole answer and returns its status.
 func roundTrip(conn net.Conn) int {
 	_, err := io.WriteString(conn, "GET /health HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/internal/standin/backend/listener.go
+++ b/internal/standin/backend/listener.go
@@ -100,11 +100,15 @@
 }
 
 // abandon closes a silent connection without informing the other end: the socket
-// stays open, and its input is discarded, until that end closes it.
+// stays open, and its input is discarded, until that end closes it. net/http may still set
+// a deadline in the past to end a read of its own.
 func (c *limitedConn) abandon() error {
-	_ = c.Conn.SetDeadline(time.Time{})
 	go func() {
-		_, _ = io.Copy(io.Discard, c.Conn)
+		err := os.ErrDeadlineExceeded
+		for errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = c.Conn.SetDeadline(time.Time{}) // fails only on a closed connection, which the copy shows
+			_, err = io.Copy(io.Discard, c.Conn)
+		}
 		c.Conn.Close()
 	}()
 	return nil
