Placement: the own data centre first when it answers at once and well before the target

Change: an offer of the own data centre that would start at once and is expected within half of the time until the target goes before all others.

--- a/internal/balance/offers.go
+++ b/internal/balance/offers.go
@@ -13,6 +13,10 @@
 	// service time: traffic between data centres costs money, and equal servers differ
 	// by a few percent at any moment.
 	otherDataCentrePenaltyPercent = 10
+	// ownDataCentreTargetPercent is the share of the time until the target within which a
+	// server of the own data centre is expected to answer, so that no faster one is
+	// looked for elsewhere. The rest covers the spread of service times around the mean.
+	ownDataCentreTargetPercent = 50
 	// roundTripWeight is the weight of the newest sample in the mean round-trip time of
 	// an offer question to another region.
 	roundTripWeight = 0.1
@@ -31,7 +35,8 @@
 	RemoteRoundTrip() time.Duration
 	// Best returns the offer with the lowest expected cost, or nil if all offers are
 	// refusals. The cost of a server's failures grows with the time until the
-	// request's target.
+	// request's target. Offers of the own data centre that are expected to answer at
+	// once and well before the target go before all others.
 	Best(offers []EndpointOffer, untilTarget time.Duration) *EndpointOffer
 	// Take picks this endpoint; as after Pick, one Done must follow.
 	Take(endpoint *Endpoint, info PickInfo) (*Endpoint, error)
@@ -116,11 +121,12 @@
 func (p *pool) Best(offers []EndpointOffer, untilTarget time.Duration) *EndpointOffer {
 	p.observeRoundTrips(offers)
 	longest := longestServiceTime(offers)
+	near := p.hasNearAnswer(offers, untilTarget)
 	var best *EndpointOffer
 	var least time.Duration
 	for i := range offers {
 		o := &offers[i]
-		if o.Refused {
+		if o.Refused || (near && !p.isNearAnswer(o, untilTarget)) {
 			continue
 		}
 		if cost := p.cost(o, longest, untilTarget); best == nil || cost < least {
@@ -130,6 +136,23 @@
 	return best
 }
 
+// isNearAnswer reports whether the offer's server is in the own data centre and would
+// answer at once and well before the target. Callers gain nothing from a faster server
+// then, but traffic between data centres costs money.
+func (p *pool) isNearAnswer(o *EndpointOffer, untilTarget time.Duration) bool {
+	return o.Endpoint.DataCentre == p.options.DataCentre && !o.Refused && o.IsSufficient() && o.ServiceTime > 0 &&
+		o.ExpectedLatency() <= untilTarget*ownDataCentreTargetPercent/100
+}
+
+func (p *pool) hasNearAnswer(offers []EndpointOffer, untilTarget time.Duration) bool {
+	for i := range offers {
+		if p.isNearAnswer(&offers[i], untilTarget) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *pool) observeRoundTrips(offers []EndpointOffer) {
 	for _, o := range offers {
 		if o.Endpoint.Region == p.options.Region {
--- a/internal/balance/offers_test.go
+++ b/internal/balance/offers_test.go
@@ -86,6 +86,22 @@
 			So(best(offerOf(b, 0, work), offerOf(a, 0, work*105/100)), ShouldEqual, a)
 			So(best(offerOf(b, 0, work), offerOf(a, 0, work*120/100)), ShouldEqual, b)
 		})
+		Convey("the own data centre is preferred if it answers at once and well before the target", func() {
+			atOnce := func(e *Endpoint, work time.Duration) EndpointOffer {
+				o := offerOf(e, 0, work)
+				o.AtOnce = true
+				return o
+			}
+			So(best(atOnce(b, work), atOnce(a, 3*work)), ShouldEqual, a)
+			So(best(atOnce(b, work), atOnce(a, 6*work)), ShouldEqual, b)
+			So(best(atOnce(b, work), offerOf(a, 0, 3*work)), ShouldEqual, b)
+			So(best(atOnce(b, work), atOnce(a, 0)), ShouldEqual, a) // unknown: as slow as the slowest
+			failing := atOnce(a, 2*work)
+			failing.ErrorRate = 0.5
+			So(best(atOnce(b, work), failing), ShouldEqual, b)
+			failing.ErrorRate, failing.Refused = 0, true
+			So(best(atOnce(b, work), failing), ShouldEqual, b)
+		})
 		Convey("the round-trip time counts", func() {
 			remote := offerOf(remoteEndpoint, 0, work)
 			remote.RoundTrip = 40 * time.Millisecond
