Placement: one request in ten to any server that answers early

Change: of the offers expected within half of the time until the target, one request in ten takes a random one.

--- a/internal/balance/offers.go
+++ b/internal/balance/offers.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/egretfield/egretfield/internal/errkind"
@@ -13,10 +14,14 @@
 	// service time: traffic between data centres costs money, and equal servers differ
 	// by a few percent at any moment.
 	otherDataCentrePenaltyPercent = 10
-	// ownDataCentreTargetPercent is the share of the time until the target within which a
-	// server of the own data centre is expected to answer, so that no faster one is
-	// looked for elsewhere. The rest covers the spread of service times around the mean.
-	ownDataCentreTargetPercent = 50
+	// earlyTargetPercent is the share of the time until the target within which an early
+	// answer is expected, so that callers gain nothing from a faster server. The rest
+	// covers the spread of service times around the mean.
+	earlyTargetPercent = 50
+	// exploreInterval: one request in so many goes to a random server that is expected to
+	// answer early. A server that looked slow, as when it was cold, would otherwise get no
+	// request that shows its present speed.
+	exploreInterval = 10
 	// roundTripWeight is the weight of the newest sample in the mean round-trip time of
 	// an offer question to another region.
 	roundTripWeight = 0.1
@@ -36,7 +41,7 @@
 	// Best returns the offer with the lowest expected cost, or nil if all offers are
 	// refusals. The cost of a server's failures grows with the time until the
 	// request's target. Offers of the own data centre that are expected to answer at
-	// once and well before the target go before all others.
+	// once and well before the target go before all others for most requests.
 	Best(offers []EndpointOffer, untilTarget time.Duration) *EndpointOffer
 	// Take picks this endpoint; as after Pick, one Done must follow.
 	Take(endpoint *Endpoint, info PickInfo) (*Endpoint, error)
@@ -121,12 +126,15 @@
 func (p *pool) Best(offers []EndpointOffer, untilTarget time.Duration) *EndpointOffer {
 	p.observeRoundTrips(offers)
 	longest := longestServiceTime(offers)
-	near := p.hasNearAnswer(offers, untilTarget)
+	early, near := p.earlyAnswers(offers, longest, untilTarget)
+	if len(early) > 0 && p.options.Rand()%exploreInterval == 0 {
+		return early[p.options.Rand()%uint64(len(early))]
+	}
 	var best *EndpointOffer
 	var least time.Duration
 	for i := range offers {
 		o := &offers[i]
-		if o.Refused || (near && !p.isNearAnswer(o, untilTarget)) {
+		if o.Refused || (near && !p.isNear(o, early)) {
 			continue
 		}
 		if cost := p.cost(o, longest, untilTarget); best == nil || cost < least {
@@ -136,21 +144,25 @@
 	return best
 }
 
-// isNearAnswer reports whether the offer's server is in the own data centre and would
-// answer at once and well before the target. Callers gain nothing from a faster server
-// then, but traffic between data centres costs money.
-func (p *pool) isNearAnswer(o *EndpointOffer, untilTarget time.Duration) bool {
-	return o.Endpoint.DataCentre == p.options.DataCentre && !o.Refused && o.IsSufficient() && o.ServiceTime > 0 &&
-		o.ExpectedLatency() <= untilTarget*ownDataCentreTargetPercent/100
-}
-
-func (p *pool) hasNearAnswer(offers []EndpointOffer, untilTarget time.Duration) bool {
+// earlyAnswers returns the offers of the own region that would start at once and answer
+// well before the target, and whether one of them is of the own data centre: callers gain
+// nothing from a faster server elsewhere then, but traffic between data centres costs money.
+func (p *pool) earlyAnswers(offers []EndpointOffer, longest, untilTarget time.Duration) (early []*EndpointOffer, near bool) {
 	for i := range offers {
-		if p.isNearAnswer(&offers[i], untilTarget) {
-			return true
+		o := &offers[i]
+		if o.Refused || !o.IsSufficient() || o.Endpoint.Region != p.options.Region ||
+			o.RoundTrip+o.Wait+p.effectiveServiceTime(o, longest) > untilTarget*earlyTargetPercent/100 {
+			continue
 		}
+		early = append(early, o)
+		near = near || o.Endpoint.DataCentre == p.options.DataCentre
 	}
-	return false
+	return early, near
+}
+
+// isNear reports whether an offer is one of the early ones and of the own data centre.
+func (p *pool) isNear(o *EndpointOffer, early []*EndpointOffer) bool {
+	return o.Endpoint.DataCentre == p.options.DataCentre && slices.Contains(early, o)
 }
 
 func (p *pool) observeRoundTrips(offers []EndpointOffer) {
@@ -176,12 +188,10 @@
 	return longest
 }
 
-// cost returns the expected time to the answer plus penalties: a server with unknown
-// service time is assumed to be as slow as the slowest, the service time of one that is
-// warming up is divided by its weight, a failure costs the caller the time until the
-// target, and another data centre costs otherDataCentrePenaltyPercent of the service
-// time.
-func (p *pool) cost(o *EndpointOffer, longest, untilTarget time.Duration) time.Duration {
+// effectiveServiceTime returns the service time that an offer is judged by: a server with
+// unknown service time is assumed to be as slow as the slowest, and the service time of
+// one that is warming up is divided by its weight.
+func (p *pool) effectiveServiceTime(o *EndpointOffer, longest time.Duration) time.Duration {
 	serviceTime := o.ServiceTime
 	if serviceTime == 0 {
 		serviceTime = longest
@@ -190,6 +200,14 @@
 	if s := snap.byKey[endpointKey{o.Endpoint.Instance, o.Endpoint.Incarnation}]; s != nil {
 		serviceTime = time.Duration(float64(serviceTime) / s.weight(timeNow(), snap.warmup))
 	}
+	return serviceTime
+}
+
+// cost returns the expected time to the answer plus penalties: a failure costs the caller
+// the time until the target, and another data centre costs otherDataCentrePenaltyPercent
+// of the service time.
+func (p *pool) cost(o *EndpointOffer, longest, untilTarget time.Duration) time.Duration {
+	serviceTime := p.effectiveServiceTime(o, longest)
 	cost := o.RoundTrip + o.Wait + serviceTime + time.Duration(o.ErrorRate*float64(max(untilTarget, 0)))
 	if o.Endpoint.DataCentre != p.options.DataCentre {
 		cost += serviceTime * otherDataCentrePenaltyPercent / 100
--- a/internal/balance/offers_test.go
+++ b/internal/balance/offers_test.go
@@ -13,7 +13,7 @@
 
 // placerAt returns a balancer of an entry in a data centre of region north.
 func placerAt(dataCentre string, endpoints ...*Endpoint) *pool {
-	b, err := New(EarliestFinish, Options{Region: "north", DataCentre: dataCentre})
+	b, err := New(EarliestFinish, Options{Region: "north", DataCentre: dataCentre, Rand: func() uint64 { return 1 }})
 	So(err, ShouldBeNil)
 	b.Update(endpoints, &pb.Policy{})
 	return b.(*pool)
@@ -94,6 +94,7 @@
 			}
 			So(best(atOnce(b, work), atOnce(a, 3*work)), ShouldEqual, a)
 			So(best(atOnce(b, work), atOnce(a, 6*work)), ShouldEqual, b)
+			So(best(atOnce(b, work), atOnce(a, 4*work)), ShouldEqual, a)
 			So(best(atOnce(b, work), offerOf(a, 0, 3*work)), ShouldEqual, b)
 			So(best(atOnce(b, work), atOnce(a, 0)), ShouldEqual, a) // unknown: as slow as the slowest
 			failing := atOnce(a, 2*work)
@@ -102,6 +103,27 @@
 			failing.ErrorRate, failing.Refused = 0, true
 			So(best(atOnce(b, work), failing), ShouldEqual, b)
 		})
+		Convey("one request in ten goes to any server that answers early, fast or not, so that its speed stays known", func() {
+			offers := []EndpointOffer{offerOf(a, 0, work), offerOf(b, 0, 4*work), offerOf(remoteEndpoint, 0, work)}
+			for i := range offers {
+				offers[i].AtOnce = true
+			}
+			draws := uint64(0)
+			p.options.Rand = func() uint64 { draws++; return draws * 7 / 2 }
+			chosen := map[*Endpoint]int{}
+			for range 1000 {
+				chosen[best(offers...)]++
+			}
+			So(chosen[a], ShouldBeBetween, 900, 990)
+			So(chosen[b], ShouldBeBetween, 10, 100)
+			So(chosen[remoteEndpoint], ShouldEqual, 0)
+			offers[1].ServiceTime = 8 * work // not early
+			clear(chosen)
+			for range 1000 {
+				chosen[best(offers...)]++
+			}
+			So(chosen[b], ShouldEqual, 0)
+		})
 		Convey("the round-trip time counts", func() {
 			remote := offerOf(remoteEndpoint, 0, work)
 			remote.RoundTrip = 40 * time.Millisecond
