Stop: answers behind a request that is still at work are delivered when the time is up

Change: when the stop's time is up, requests at work are answered with deadline_after_send; a stopping node serves nothing more ahead of its turn.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,6 +88,10 @@
 	// stopBy is the time by which every request must be answered because the node is
 	// stopping; nil if it isn't.
 	stopBy atomic.Pointer[time.Time]
+	// stopped ends at that time.
+	stopped   context.Context
+	endStop   context.CancelFunc
+	stopTimer sync.Once
 	// inProgress counts exchanges and outcome reports to keepers.
 	inProgress atomic.Int64
 
@@ -115,6 +119,7 @@
 		states:        make(map[string]*serviceState),
 		requestLogger: newRequestLogger(options.Logger),
 	}
+	h.stopped, h.endStop = context.WithCancel(context.Background())
 	h.registerMetrics(options.Meter)
 	return h
 }
@@ -167,9 +172,11 @@
 
 // SetStopping makes every answer close the caller's connection. Later requests are
 // still served, with a deadline no later than the time by: an answer in time, even a
-// refusal, is more useful to a caller than a broken connection.
+// refusal, is more useful to a caller than a broken connection. At that time the earlier
+// requests are answered, too.
 func (h *Handler) SetStopping(by time.Time) {
 	h.stopBy.Store(&by)
+	h.stopTimer.Do(func() { time.AfterFunc(time.Until(by), h.endStop) })
 }
 
 // Close closes the idle connections to gates.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -65,6 +66,9 @@
 	uncertain *wire.Answer
 	// pending is the result of the last attempt until it is reported to the balancer.
 	pending balance.Result
+	// cancel ends the attempts' context, on which the body of the answer depends; nil if
+	// none was made.
+	cancel context.CancelCauseFunc
 }
 
 // releaseResources releases everything that the exchange holds and reports the last
@@ -75,6 +79,9 @@
 	if x.streamedBody != nil {
 		x.streamedBody.stop(time.Unix(1, 0))
 	}
+	if x.cancel != nil {
+		x.cancel(nil)
+	}
 	x.releasePrefetchBuffer()
 	x.reportAttempt()
 }
@@ -100,7 +107,26 @@
 		x.serveKeyed()
 		return
 	}
-	x.writeAnswer(x.run(x.r.Context()))
+	x.writeAnswer(x.runUntilStopped())
+}
+
+// errStopped is the cause with which a request's context ends when the node's stop leaves
+// no more time.
+var errStopped = errors.New("the node is stopping")
+
+// runUntilStopped makes attempts until the time for a stop of the node is up. The caller
+// then learns that its request may run on, and answers that wait behind it on the
+// connection are delivered.
+func (x *exchange) runUntilStopped() *wire.Answer {
+	ctx, cancel := context.WithCancelCause(x.r.Context())
+	release := context.AfterFunc(x.handler.stopped, func() { cancel(errStopped) })
+	answer := x.run(ctx)
+	release() // an answer that has begun may be delivered
+	if answer.Kind == pb.ErrorKind_ERROR_KIND_CANCELLED && context.Cause(ctx) == errStopped {
+		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DEADLINE_AFTER_SEND, "the node stopped before the answer arrived")
+	}
+	x.cancel = cancel
+	return answer
 }
 
 // run makes attempts and returns the final answer. It returns a refusal only if no
--- a/internal/entry/pipelining_test.go
+++ b/internal/entry/pipelining_test.go
@@ -433,6 +433,22 @@
 			So(server.ran(), ShouldNotContain, "/late")
 			So(server.ran(), ShouldNotContain, "/order")
 		})
+		Convey("a stop whose time is up delivers the answers behind a request that is still at work", func() {
+			caller.send(get("/wait/first") + get("/second") + get("/third"))
+			for range 3 {
+				So(server.begun(), ShouldNotStartWith, "none")
+			}
+			started := time.Now()
+			c.entry.SetStopping(started.Add(200 * time.Millisecond))
+			resp, _ := caller.answer("GET")
+			So(time.Since(started), ShouldBeLessThan, 2*time.Second)
+			So(resp.Header.Get("Egret-Error"), ShouldEqual, "deadline_after_send")
+			So(resp.Header.Get("Egret-Run"), ShouldEqual, "unknown")
+			for _, want := range []string{"GET /second ", "GET /third "} {
+				_, body := caller.answer("GET")
+				So(body, ShouldEqual, want)
+			}
+		})
 		Convey("the deadline of a request behind another runs from its first byte", func() {
 			caller.send(get("/wait/first") + "POST /svc/orders/order HTTP/1.1\r\nHost: h\r\nEgret-Timeout: 300\r\nContent-Length: 0\r\n\r\n")
 			So(server.begun(), ShouldEqual, "/wait/first")
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -36,6 +36,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), inFlightTimeout(timeout))
 	defer cancel()
 	n.stopping.Store(true)
+	n.callerHTTP.SetStopping()
 	if deadline, ok := ctx.Deadline(); ok {
 		n.entry.SetStopping(deadline)
 		n.gate.SetStopping(deadline)
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -101,6 +101,8 @@
 	// listeners are the listeners in use; nil once the server is stopping.
 	listeners []*listener
 	stopping  bool
+	// sequential reports whether no more requests are served ahead of their turn.
+	sequential atomic.Bool
 }
 
 // NewServer returns a server with the limits of the request path.
@@ -211,8 +213,15 @@
 	return true
 }
 
+// SetStopping announces a stop: no more requests are served ahead of their turn, so that
+// the answer to each may close its connection.
+func (s *Server) SetStopping() { s.sequential.Store(true) }
+
 // acquire takes a slot for a request that is served ahead.
 func (s *Server) acquire() bool {
+	if s.sequential.Load() {
+		return false
+	}
 	select {
 	case s.slots <- struct{}{}:
 		s.servedAhead.Add(1)
@@ -229,6 +238,7 @@
 // closed. The handler's answers must announce the end of their connection by then
 // (CloseAfter). The connections that are left when ctx ends are closed by Close.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.SetStopping()
 	s.awaitQuietListener(ctx)
 	s.mu.Lock()
 	s.stopping = true
