--- a/internal/entry/pipelining_test.go
+++ b/internal/entry/pipelining_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -252,7 +253,8 @@
 		Convey("a request that may run only once waits for the answers before it", func() {
 			for _, once := range []string{post("/order", "1"), get("/once/order")} {
 				caller.send(get("/wait/front") + once + get("/behind"))
-				So(server.begun(), ShouldEqual, "/wait/front")
+				// The safe requests are served at the same time, in any order.
+				So([]string{server.begun(), server.begun()}, ShouldContain, "/wait/front")
 				time.Sleep(50 * time.Millisecond)
 				So(server.ran(), ShouldNotContain, "/order")
 				So(server.ran(), ShouldNotContain, "/once/order")
@@ -320,7 +322,9 @@
 			So(body, ShouldEqual, "GET /wait/last ")
 			So(resp.Close, ShouldBeTrue)
 			So(caller.end(), ShouldBeTrue)
-			So(server.ran(), ShouldResemble, []string{"/a", "/wait/last"})
+			ran := server.ran()
+			slices.Sort(ran)
+			So(ran, ShouldResemble, []string{"/a", "/wait/last"})
 		})
 		Convey("nothing in the unread body of a refused request is passed on", func() {
 			caller.send(get("/a") + "POST /svc/orders/small HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + get("/smuggled"))
