--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"os"
@@ -65,8 +64,8 @@
 	noMore bool
 	// pipelined reports whether a request ever arrived behind another.
 	pipelined bool
-	// ended is the error that ended reading; nil while the connection can be read.
-	ended error
+	// readErr is the error that ended reading; nil while the connection can be read.
+	readErr error
 	// closed reports whether the connection was closed, closing whether it will be after
 	// the answers of the queue.
 	closed, closing bool
@@ -81,7 +80,7 @@
 	c := &conn{Conn: nc, server: server, wake: make(chan struct{}, 1), lastUsed: time.Now()}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.framer = newFramer(maxHeadBytes)
-	c.framer.state = ended
+	c.framer.state = atEnd
 	c.ahead = newFramer(maxHeadBytes)
 	return c
 }
@@ -93,11 +92,11 @@
 	}
 	for {
 		c.mu.Lock()
-		if c.mayBeginLocked() && (c.ended != nil || c.noMore) {
+		if c.mayBeginLocked() && (c.readErr != nil || c.noMore) {
 			c.mu.Unlock()
 			return 0, io.EOF
 		}
-		deliver := c.framer.state != ended || c.mayBeginLocked()
+		deliver := c.framer.state != atEnd || c.mayBeginLocked()
 		if deliver && c.pending.len() > 0 {
 			n, err := c.deliverLocked(p)
 			c.mu.Unlock()
@@ -106,8 +105,8 @@
 		if !deliver {
 			c.startAheadLocked()
 		}
-		err := c.ended
-		if c.framer.head.ambiguous != "" && c.framer.state == ended && c.busy {
+		err := c.readErr
+		if c.framer.head.ambiguous != "" && c.framer.state == atEnd && c.busy {
 			err = io.EOF // what stands behind may be a part of the request
 		}
 		full := c.pending.len() >= c.server.options.UnreadBytes
@@ -139,7 +138,7 @@
 
 // beginLocked starts a request whose first byte was read at the time arrived.
 func (c *conn) beginLocked(arrived time.Time) {
-	if c.framer.state != ended || c.busy {
+	if c.framer.state != atEnd || c.busy {
 		return
 	}
 	c.framer = newFramer(maxHeadBytes)
@@ -160,15 +159,15 @@
 // resultLocked returns what a read of n bytes of the current request returns. After an
 // error of the framing no more bytes are delivered.
 func (c *conn) resultLocked(n int, err error) (int, error) {
-	c.noMore = c.noMore || c.framer.head.closes && c.framer.state == ended
+	c.noMore = c.noMore || c.framer.head.closes && c.framer.state == atEnd
 	if err != nil {
-		c.noMore, c.ended = true, err
+		c.noMore, c.readErr = true, err
 	}
 	if n > 0 {
 		return n, nil
 	}
-	if c.ended != nil {
-		return 0, c.ended
+	if c.readErr != nil {
+		return 0, c.readErr
 	}
 	return 0, io.EOF // the head is longer than net/http accepts
 }
@@ -220,14 +219,9 @@
 	return c.failedReadLocked(err)
 }
 
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // resumeLocked reports whether a read ended only because interruptLocked asked for it.
 func (c *conn) resumeLocked(err error) bool {
-	if !c.interrupted || !isTimeout(err) {
+	if !c.interrupted || !wire.IsTimeout(err) {
 		return false
 	}
 	c.interrupted = false
@@ -252,10 +246,10 @@
 // failedReadLocked records an error of the connection and returns it. A time-out doesn't
 // end the connection: net/http sets deadlines to end its own reads.
 func (c *conn) failedReadLocked(err error) error {
-	if isTimeout(err) {
+	if wire.IsTimeout(err) {
 		return err
 	}
-	c.ended = err
+	c.readErr = err
 	c.cancel()
 	return err
 }
@@ -334,7 +328,7 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy && len(c.queue) > 0 && c.ended == nil && !c.aborted {
+	if !c.busy && len(c.queue) > 0 && c.readErr == nil && !c.aborted {
 		c.closing, c.noMore = true, true
 		return nil
 	}
@@ -355,7 +349,7 @@
 		// To a caller of HTTP/1.0, the end of the connection is the end of the answer; a
 		// reset shows that the answer is not complete.
 		resetOnClose(c.Conn)
-	case c.pipelined && c.ended == nil:
+	case c.pipelined && c.readErr == nil:
 		go linger(c.Conn)
 		return nil
 	}
@@ -375,10 +369,7 @@
 
 // resetOnClose makes the coming close of a connection reset it.
 func resetOnClose(nc net.Conn) {
-	if wrapped, ok := nc.(interface{ NetConn() net.Conn }); ok {
-		nc = wrapped.NetConn() // TLS
-	}
-	if tcp, ok := nc.(interface{ SetLinger(int) error }); ok {
+	if tcp, ok := wire.SocketOf(nc).(interface{ SetLinger(int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only on a closed connection
 	}
 }
--- a/internal/pipeline/framer.go
+++ b/internal/pipeline/framer.go
@@ -32,7 +32,7 @@
 	inChunk
 	inChunkEnd
 	inTrailer
-	ended
+	atEnd
 )
 
 // framer finds the end of one request in a stream of bytes. It accepts no framing that
@@ -77,7 +77,7 @@
 // error, the rest of the stream can't be divided into requests.
 func (f *framer) scan(data []byte) (int, error) {
 	n := 0
-	for n < len(data) && f.state != ended {
+	for n < len(data) && f.state != atEnd {
 		switch f.state {
 		case inBody, inChunk:
 			part := min(f.remaining, int64(len(data)-n))
@@ -91,14 +91,14 @@
 		end := bytes.IndexByte(data[n:], '\n')
 		if end < 0 {
 			rest := data[n:]
-			if err := f.countLine(len(rest)); err != nil || f.state == ended {
+			if err := f.countLine(len(rest)); err != nil || f.state == atEnd {
 				return n, err
 			}
 			f.line = append(f.line, rest...)
 			return len(data), nil
 		}
 		line := data[n : n+end+1]
-		if err := f.countLine(len(line)); err != nil || f.state == ended {
+		if err := f.countLine(len(line)); err != nil || f.state == atEnd {
 			return n, err
 		}
 		if len(f.line) > 0 {
@@ -116,7 +116,7 @@
 
 func (f *framer) endData() {
 	if f.state == inBody {
-		f.state = ended
+		f.state = atEnd
 	} else {
 		f.state = inChunkEnd
 	}
@@ -130,7 +130,7 @@
 		if f.headBytes > f.maxHeadBytes {
 			// net/http refuses the head when it has read that far.
 			f.head.ambiguous, f.head.closes = "request header too large", true
-			f.state = ended
+			f.state = atEnd
 		}
 	case inTrailer:
 		f.trailerBytes += n
@@ -166,7 +166,7 @@
 			return errChunked
 		}
 		if len(text) == 0 {
-			f.state = ended
+			f.state = atEnd
 		}
 	}
 	return nil
@@ -300,7 +300,7 @@
 	if h.chunked && h.oldVersion {
 		h.ambiguous = "request of HTTP/1.0 has Transfer-Encoding"
 	}
-	f.state = ended
+	f.state = atEnd
 	switch {
 	case h.ambiguous != "":
 		h.closes = true
@@ -318,5 +318,5 @@
 // it has a safe method and no body, and nothing in its head is unusual.
 func (f *framer) mayRunAhead() bool {
 	h := &f.head
-	return f.state == ended && h.safe && h.plain && h.ambiguous == "" && h.hosts == 1 && !h.chunked && h.contentLength == ""
+	return f.state == atEnd && h.safe && h.plain && h.ambiguous == "" && h.hosts == 1 && !h.chunked && h.contentLength == ""
 }
--- a/internal/pipeline/framer_test.go
+++ b/internal/pipeline/framer_test.go
@@ -49,7 +49,7 @@
 		if err != nil {
 			return ends, err
 		}
-		if f.state == ended {
+		if f.state == atEnd {
 			ends = append(ends, at)
 			if f.head.ambiguous != "" {
 				return ends, nil
@@ -135,11 +135,11 @@
 		f := newFramer(maxHeadBytes)
 		field := []byte("X: " + strings.Repeat("x", 1000) + "\r\n")
 		_, err := f.scan([]byte("GET / HTTP/1.1\r\n"))
-		for i := 0; i < 1000 && f.state != ended && err == nil; i++ {
+		for i := 0; i < 1000 && f.state != atEnd && err == nil; i++ {
 			_, err = f.scan(field)
 		}
 		So(err, ShouldBeNil)
-		So(f.state, ShouldEqual, ended)
+		So(f.state, ShouldEqual, atEnd)
 		So(f.head.ambiguous, ShouldNotBeEmpty)
 		So(f.headBytes, ShouldBeLessThan, maxHeadBytes+2000)
 		So(cap(f.line), ShouldBeLessThan, maxHeadBytes)
--- a/internal/pipeline/hungup_linux.go
+++ b/internal/pipeline/hungup_linux.go
@@ -5,6 +5,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/egretfield/egretfield/internal/wire"
 )
 
 // hasHungUp reports whether the peer has closed or reset the connection, also when bytes
@@ -24,10 +26,7 @@
 }
 
 func rawConn(nc net.Conn) syscall.RawConn {
-	if wrapped, ok := nc.(interface{ NetConn() net.Conn }); ok {
-		nc = wrapped.NetConn() // TLS
-	}
-	sys, ok := nc.(syscall.Conn)
+	sys, ok := wire.SocketOf(nc).(syscall.Conn)
 	if !ok {
 		return nil
 	}
--- a/internal/pipeline/queue.go
+++ b/internal/pipeline/queue.go
@@ -20,7 +20,7 @@
 
 // startAheadLocked starts the requests at the front of pending that may be served ahead.
 func (c *conn) startAheadLocked() {
-	for !c.noMore && c.ended == nil && c.framer.state == ended && len(c.queue) < c.server.options.Depth {
+	for !c.noMore && c.readErr == nil && c.framer.state == atEnd && len(c.queue) < c.server.options.Depth {
 		if c.mayBeginLocked() {
 			return // net/http reads the next request
 		}
@@ -49,7 +49,7 @@
 
 // nextHeadLocked returns the first pending request if it may be served ahead.
 func (c *conn) nextHeadLocked() ([]byte, bool) {
-	if c.ahead.state != ended {
+	if c.ahead.state != atEnd {
 		n, err := c.ahead.scan(c.pending.bytes()[c.scanned:])
 		c.scanned += n
 		if err != nil {
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -67,10 +67,7 @@
 	}
 	c.reader = bufio.NewReaderSize(&c.limitedInput, connReadBufferBytes)
 	c.peek = c.peekSocket
-	if wrapped, ok := nc.(interface{ NetConn() net.Conn }); ok {
-		nc = wrapped.NetConn() // TLS
-	}
-	if sys, ok := nc.(syscall.Conn); ok {
+	if sys, ok := SocketOf(nc).(syscall.Conn); ok {
 		c.raw, _ = sys.SyscallConn() // without raw, isAlive doesn't check the socket
 	}
 	return c
@@ -147,8 +144,16 @@
 	return true
 }
 
-// isTimeout reports whether err means that a read or write deadline has passed.
-func isTimeout(err error) bool {
+// SocketOf returns the connection below TLS, or nc itself without TLS.
+func SocketOf(nc net.Conn) net.Conn {
+	if wrapped, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		return wrapped.NetConn()
+	}
+	return nc
+}
+
+// IsTimeout reports whether err means that a read or write deadline has passed.
+func IsTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -218,7 +218,7 @@
 		if err == nil {
 			return nil
 		}
-		if !isTimeout(err) || x.conn.aborted.Load() || !time.Now().Before(deadline) {
+		if !IsTimeout(err) || x.conn.aborted.Load() || !time.Now().Before(deadline) {
 			return eris.Wrap(unexpected(err), "await answer")
 		}
 		if x.params.Check(ctx, time.Since(x.startedAt), x.conn.reused) == VerdictBroken {
--- a/internal/wire/socket_test.go
+++ b/internal/wire/socket_test.go
@@ -47,9 +47,9 @@
 		Convey("a deadline ends a waiting read and a waiting write with a timeout error", func() {
 			So(a.SetDeadline(time.Now().Add(time.Millisecond)), ShouldBeNil)
 			_, err := a.Read(make([]byte, 1))
-			So(isTimeout(err), ShouldBeTrue)
+			So(IsTimeout(err), ShouldBeTrue)
 			_, err = a.Write(make([]byte, 64<<20))
-			So(isTimeout(err), ShouldBeTrue)
+			So(IsTimeout(err), ShouldBeTrue)
 			So(a.SetDeadline(time.Time{}), ShouldBeNil)
 			_, _ = io.WriteString(b, "x")
 			n, err := a.Read(make([]byte, 2))
