--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -26,6 +26,7 @@
 	mu          sync.Mutex
 	nodes       map[string]*node // by control address
 	log         *fakeLog
+	keyed       *keyedLog // replaces log where a test needs a keyed log
 	lossRate    float64
 	lateRate    float64 // share of requests that arrive up to maxLateness late
 	partitioned func(a, b *node) bool
@@ -63,13 +64,17 @@
 // startAt is like start with the given incarnation.
 func (c *cluster) startAt(incarnation uint64, instance, address, region string, seeds ...string) *node {
 	n := &node{c: c, instance: instance, address: address, region: region}
+	var log platformlog.Log = c.log
+	if c.keyed != nil {
+		log = c.keyed
+	}
 	list, err := New(Options{
 		Member: &pb.Member{
 			Instance: instance, Region: region, DataCentre: region + "-a",
 			ControlAddress: address, GateAddress: address + "0",
 		},
 		ControlClient: n,
-		Log:           c.log,
+		Log:           log,
 		Seeds:         seeds,
 		Incarnation:   incarnation,
 		Seed:          incarnation,
