A control call that panics ends alone; a failed accept doesn't end the node

Cause: net/rpc doesn't contain a panic of a called method, so one call that a method can't digest ended the process; an accept that failed for want of a descriptor ended Serve and with it the node. Change: each call is served by ServeRequest in a goroutine that recovers, replies with an internal error, counts and logs; accepts are tried again after 50 ms.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -46,7 +46,7 @@
 	if n.controlClient, err = peer.NewClient(key, peer.Options{TLS: clientTLS}); err != nil {
 		return err
 	}
-	if n.controlServer, err = peer.NewServer(key, peer.Options{TLS: serverTLS}); err != nil {
+	if n.controlServer, err = peer.NewServer(key, peer.Options{TLS: serverTLS, Logger: n.logger.Named("control")}); err != nil {
 		return err
 	}
 	n.limiter = budget.New(budget.LimitsOf(nil))
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/egretfield/egretfield/internal/defaults"
 )
 
@@ -56,6 +58,9 @@
 	// Dial opens a connection, on top of which TLS is used if configured; nil: a
 	// TCP dialer (client).
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Logger receives panics of called methods and errors of the listener; nil disables
+	// logging (server).
+	Logger *zap.Logger
 }
 
 // withDefaults sets the defaults of fields left at zero; idleTimeout is the
@@ -70,6 +75,9 @@
 	defaults.Set(&o.MaxConns, DefaultMaxConns)
 	defaults.Set(&o.MaxHandshakes, DefaultMaxHandshakes)
 	defaults.Set(&o.MaxConnCalls, DefaultMaxConnCalls)
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
 	if o.Dial == nil {
 		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
 			var d net.Dialer
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -8,12 +8,15 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rotisserie/eris"
 	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
@@ -38,6 +41,13 @@
 	return eris.Wrap(errkind.New(pb.ErrorKind_ERROR_KIND_CONFLICT, "version 7 won"), "publish")
 }
 
+// Panic fails as a method does that trusts a field which is missing.
+func (e *echoService) Panic(args *pb.Rumor, _ *pb.Rumor) error {
+	var missing *pb.Member
+	missing.Instance = string(args.Payload)
+	return nil
+}
+
 func (e *echoService) Wait(args *pb.Rumor, reply *pb.Rumor) error {
 	<-e.block
 	return nil
@@ -184,6 +194,58 @@
 	})
 }
 
+func TestPanic(t *testing.T) {
+	core, logs := observer.New(zap.ErrorLevel)
+	withFixture(t, testKey, Options{MaxConnCalls: 2, Logger: zap.New(core)}, Options{}, func(f *fixture) {
+		Convey("A panic of a called method ends that call alone, is counted and logged", t, func() {
+			for range 5 {
+				_, err := f.call("Echo.Panic", []byte("x"), time.Second)
+				So(errkind.KindOf(err), ShouldEqual, pb.ErrorKind_ERROR_KIND_INTERNAL)
+				reply, err := f.call("Echo.Say", []byte("hello"), time.Second)
+				So(err, ShouldBeNil)
+				So(string(reply), ShouldEqual, "hello")
+			}
+			So(f.client.Stats().Dials(), ShouldEqual, 1)
+			So(f.server.Stats().Panics(), ShouldEqual, 5)
+			So(logs.Len(), ShouldEqual, 5)
+			So(logs.All()[0].ContextMap()["method"], ShouldEqual, "Echo.Panic")
+		})
+	})
+}
+
+// failingListener fails the first accepts, as a process does that has no free file
+// descriptor.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+func TestAcceptErrors(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		Convey("A server whose listener fails for a while serves calls afterwards", t, func() {
+			f := &fixture{net: &pipeNet{conns: make(chan net.Conn)}, echoService: &echoService{block: make(chan struct{})}}
+			f.server, _ = NewServer(testKey, Options{})
+			So(f.server.RegisterName("Echo", f.echoService), ShouldBeNil)
+			f.client, _ = NewClient(testKey, Options{Dial: f.net.dial, DialTimeout: 10 * time.Second})
+			served := make(chan error, 1)
+			go func() { served <- f.server.Serve(&failingListener{f.net, 20}) }()
+			reply, err := f.call("Echo.Say", []byte("hello"), 10*time.Second)
+			So(err, ShouldBeNil)
+			So(string(reply), ShouldEqual, "hello")
+			f.close()
+			So(<-served, ShouldBeNil)
+		})
+	})
+}
+
 func TestSilentConnection(t *testing.T) {
 	withFixture(t, testKey, Options{}, Options{}, func(f *fixture) {
 		Convey("Given a connection whose peer no longer responds", t, func() {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,10 +5,12 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/egretfield/egretfield/internal/errkind"
@@ -57,25 +59,36 @@
 // Stats returns the server's counters.
 func (s *Server) Stats() *Stats { return s.stats }
 
+// acceptRetryInterval is the pause after a failed accept, for example while the process
+// has no free file descriptor.
+const acceptRetryInterval = 50 * time.Millisecond
+
 // Serve accepts connections from listener until Close is called or listener is
-// closed, and then returns nil. Any other error of listener is returned. Serve
-// closes listener.
+// closed, and then returns nil. After any other error it tries again. Serve closes
+// listener.
 func (s *Server) Serve(listener net.Listener) error {
 	defer listener.Close()
 	if !s.addListener(listener) {
 		return nil
 	}
+	failing := false
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
-			if s.isClosed() || errors.Is(err, net.ErrClosed) {
-				return nil
+		switch {
+		case err == nil:
+			failing = false
+			if !s.addConn(conn) {
+				s.stats.refused.Add(1)
+				conn.Close()
 			}
-			return eris.Wrap(err, "accept control connection")
-		}
-		if !s.addConn(conn) {
-			s.stats.refused.Add(1)
-			conn.Close()
+		case s.isClosed() || errors.Is(err, net.ErrClosed):
+			return nil
+		default:
+			if !failing {
+				s.opts.Logger.Error("control connection not accepted", zap.Error(err))
+			}
+			failing = true
+			time.Sleep(acceptRetryInterval)
 		}
 	}
 }
@@ -142,7 +155,7 @@
 		s.stats.rejected.Add(1)
 		return
 	}
-	s.rpc.ServeCodec(&serverCodec{
+	s.serveCalls(&serverConn{
 		framed:    framed,
 		opts:      &s.opts,
 		stats:     s.stats,
@@ -150,6 +163,41 @@
 	})
 }
 
+// serveCalls serves the calls of a connection until nothing more can be read from it, and
+// waits for those that run.
+func (s *Server) serveCalls(c *serverConn) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		call, err := c.readCall()
+		if err != nil {
+			return
+		}
+		running.Go(func() { s.serveCall(c, call) })
+	}
+}
+
+// serveCall serves one call. A panic of the called method ends that call alone.
+func (s *Server) serveCall(c *serverConn, call *pb.PeerCall) {
+	codec := &serverCodec{conn: c, call: call}
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		s.stats.panics.Add(1)
+		s.opts.Logger.Error("panic while serving a control call", zap.String("method", call.Method),
+			zap.Any("panic", cause), zap.ByteString("stack", debug.Stack()))
+		if codec.answered {
+			c.framed.conn.Close()
+			return
+		}
+		failure := errkind.New(pb.ErrorKind_ERROR_KIND_INTERNAL, "the call ended unexpectedly")
+		_ = codec.WriteResponse(&rpc.Response{ServiceMethod: call.Method, Seq: call.Sequence, Error: failure.Error()}, nil) // closes the connection if it fails
+	}()
+	_ = s.rpc.ServeRequest(codec) // the peer gets the error as the call's reply
+}
+
 func (s *Server) dropConn(conn net.Conn) {
 	conn.Close()
 	s.mu.Lock()
@@ -172,47 +220,63 @@
 	return framed, conn.SetDeadline(time.Time{})
 }
 
-// serverCodec is the rpc.ServerCodec of one connection.
-type serverCodec struct {
+// serverConn is an accepted connection.
+type serverConn struct {
 	framed *framedConn
 	opts   *Options
 	stats  *Stats
 	// callSlots holds a token for each running call.
 	callSlots chan struct{}
-	body      []byte
+	// writeMu is held while a reply is written.
+	writeMu sync.Mutex
 }
 
-// ReadRequestHeader receives a call and waits while MaxConnCalls are running.
-func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+// readCall receives a call and waits while MaxConnCalls are running.
+func (c *serverConn) readCall() (*pb.PeerCall, error) {
 	if err := c.framed.conn.SetReadDeadline(time.Now().Add(c.opts.IdleTimeout)); err != nil {
-		return err
+		return nil, err
 	}
 	call := &pb.PeerCall{}
 	n, err := c.framed.read(call)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	c.stats.countIn(call.Method, n)
 	c.callSlots <- struct{}{}
-	r.ServiceMethod, r.Seq, c.body = call.Method, call.Sequence, call.Body
+	return call, nil
+}
+
+// serverCodec is the rpc.ServerCodec of one call.
+type serverCodec struct {
+	conn *serverConn
+	call *pb.PeerCall
+	// answered reports whether WriteResponse was called.
+	answered bool
+}
+
+// ReadRequestHeader returns the header of the call.
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	r.ServiceMethod, r.Seq = c.call.Method, c.call.Sequence
 	return nil
 }
 
-// ReadRequestBody decodes the arguments of the call just received.
+// ReadRequestBody decodes the arguments of the call.
 func (c *serverCodec) ReadRequestBody(body any) error {
 	args, ok := body.(proto.Message)
 	if !ok {
 		return nil
 	}
-	if err := proto.Unmarshal(c.body, args); err != nil {
+	if err := proto.Unmarshal(c.call.Body, args); err != nil {
 		return errkind.Wrap(pb.ErrorKind_ERROR_KIND_BAD_REQUEST, err, "decode arguments")
 	}
 	return nil
 }
 
-// WriteResponse sends a reply and frees the call's slot.
+// WriteResponse sends the reply and frees the call's slot.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	<-c.callSlots
+	conn := c.conn
+	c.answered = true
+	<-conn.callSlots
 	call := &pb.PeerCall{Sequence: r.Seq, Method: r.ServiceMethod, Error: r.Error}
 	if reply, ok := body.(proto.Message); ok && r.Error == "" {
 		encoded, err := proto.Marshal(reply)
@@ -221,19 +285,19 @@
 		}
 		call.Body = encoded
 	}
-	if err := c.framed.checkSize(call); err != nil {
+	if err := conn.framed.checkSize(call); err != nil {
 		call.Body, call.Error = nil, err.Error()
 	}
-	n, err := c.framed.write(call, c.opts.WriteTimeout)
+	conn.writeMu.Lock()
+	defer conn.writeMu.Unlock()
+	n, err := conn.framed.write(call, conn.opts.WriteTimeout)
 	if err != nil {
-		c.framed.conn.Close()
+		conn.framed.conn.Close()
 		return err
 	}
-	c.stats.countOut(call.Method, n)
+	conn.stats.countOut(call.Method, n)
 	return nil
 }
 
-// Close closes the connection.
-func (c *serverCodec) Close() error {
-	return c.framed.conn.Close()
-}
+// Close does nothing: the connection outlasts the call.
+func (c *serverCodec) Close() error { return nil }
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -41,6 +41,8 @@
 	// retired counts connections retired because the peer stopped responding.
 	retired atomic.Uint64
 	dials   atomic.Uint64
+	// panics counts calls that ended with a panic of the called method.
+	panics atomic.Uint64
 }
 
 func newStats() *Stats {
@@ -59,6 +61,9 @@
 // responding.
 func (s *Stats) Retired() uint64 { return s.retired.Load() }
 
+// Panics returns the number of calls that ended with a panic of the called method.
+func (s *Stats) Panics() uint64 { return s.panics.Load() }
+
 // Dials returns the number of attempts to open a connection.
 func (s *Stats) Dials() uint64 { return s.dials.Load() }
 
