--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -53,8 +53,8 @@
 	// earlierIDs are the ids of the latest requests before the current one.
 	earlierIDs [maxEarlierIDs]string
 	nextID     int
-	aborted   atomic.Bool
-	closed    atomic.Bool
+	aborted    atomic.Bool
+	closed     atomic.Bool
 }
 
 func newConn(nc net.Conn, p *pool) *conn {
