TestBytesWithoutEnd: the second request follows the bytes behind the first answer

Cause: at line rate the test expected the second request to succeed, but the bytes behind the first answer may come only after the connection is in use again; the request then ends with an error, as with a trickle, and never with their content. Change: the test waits until the peer has sent such bytes; the expectation stays.

--- a/internal/wire/endless_test.go
+++ b/internal/wire/endless_test.go
@@ -112,6 +112,9 @@
 				if c.whole {
 					So(body, ShouldBeIn, "ok", "")
 					// The next request must not be answered by these bytes.
+					for pause == 0 && p.sent.Load() == 0 {
+						time.Sleep(time.Millisecond)
+					}
 					call.Deadline = time.Now().Add(deadline)
 					second, err := client.Do(context.Background(), SendParams{Addr: addr, Call: call})
 					// Bytes that come after the connection is in use again end the request.
