gate: log what a backend server's answers tell about its rate limit and its leaving

The adapter names the two headers, wire decodes them into a ServerNotice, and the gate logs each change with its source. No decision depends on them yet.

--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -82,6 +82,7 @@
 	}
 	answer.ServerTime = time.Since(r.startedAt)
 	r.gate.recordLoad(answer.Load)
+	r.gate.recordNotice(r.server, answer.Notice, noticeFromAnswer)
 	if answer.NotExecuted || answer.Misdirected {
 		return r.notExecuted(answer)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -68,6 +68,8 @@
 	client *wire.Client
 	prober *healthProber
 	crash  crashDetector
+	// notices are those of the server's answers.
+	notices noticeTracker
 	// reportedDown: the node was told that the server is dead.
 	reportedDown atomic.Bool
 }
@@ -129,7 +131,9 @@
 		options := g.options.ClientOptions
 		options.MaxConns = server.Connections
 		options.ServerID = server.ID
-		g.server.Store(&backendServer{Server: *server, client: wire.NewClient(options), prober: newHealthProber(options.Headers)})
+		next := &backendServer{Server: *server, client: wire.NewClient(options), prober: newHealthProber(options.Headers)}
+		next.notices.latest.RatePerS = wire.NoRateLimit
+		g.server.Store(next)
 		g.limiter.configure(effectiveSlots(server))
 	}
 	if old == nil {
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -33,11 +33,21 @@
 	maxHealthBytes = 4 << 10
 )
 
-// healthProber reads a server's slowness from its health endpoint. Safe for
-// concurrent use.
+// healthReport is what an answer of a server's health endpoint tells.
+type healthReport struct {
+	// askedAt is when the probe was sent.
+	askedAt time.Time
+	// slowness is the server's slowness in percent; zero: not reported.
+	slowness uint32
+	// notice is the server's notice; nil: none.
+	notice *wire.ServerNotice
+}
+
+// healthProber reads a server's state from its health endpoint. Safe for concurrent
+// use.
 type healthProber struct {
-	client     http.Client
-	loadHeader string // name of the load header
+	client  http.Client
+	headers *wire.Headers
 
 	mu sync.Mutex
 	// inFlight is closed when the probe in flight ends; nil: none is.
@@ -51,7 +61,7 @@
 		headers = wire.DefaultHeaders()
 	}
 	return &healthProber{
-		loadHeader: headers.Load,
+		headers: headers,
 		client: http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: 1,
 			MaxConnsPerHost:     1,
@@ -61,9 +71,10 @@
 	}
 }
 
-// probe returns the slowness that the server reports, in percent; zero: none.
-// Calls made while a probe is in flight wait for its end and return zero.
-func (p *healthProber) probe(ctx context.Context, url string) (uint32, error) {
+// probe returns the report of the server's health endpoint. Calls made while a probe
+// is in flight wait for its end and return nil, as do those in the pause after a
+// failed one.
+func (p *healthProber) probe(ctx context.Context, url string) (*healthReport, error) {
 	p.mu.Lock()
 	if inFlight := p.inFlight; inFlight != nil {
 		p.mu.Unlock()
@@ -71,15 +82,15 @@
 		case <-inFlight:
 		case <-ctx.Done():
 		}
-		return 0, nil
+		return nil, nil
 	}
 	if time.Now().Before(p.pausedUntil) {
 		p.mu.Unlock()
-		return 0, nil
+		return nil, nil
 	}
 	p.inFlight = make(chan struct{})
 	p.mu.Unlock()
-	slowness, err := p.get(ctx, url)
+	report, err := p.get(ctx, url)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	close(p.inFlight)
@@ -87,25 +98,28 @@
 	if err != nil {
 		p.pausedUntil = time.Now().Add(probePause)
 	}
-	return slowness, err
+	return report, err
 }
 
-func (p *healthProber) get(ctx context.Context, url string) (uint32, error) {
+func (p *healthProber) get(ctx context.Context, url string) (*healthReport, error) {
+	report := &healthReport{askedAt: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	answer, err := p.client.Do(request)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	defer answer.Body.Close()
 	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxHealthBytes)); err != nil {
-		return 0, err
+		return nil, err
 	}
-	return wire.ParseServerLoad(answer.Header.Get(p.loadHeader)).GetSlownessPercent(), nil
+	report.slowness = wire.ParseServerLoad(answer.Header.Get(p.headers.Load)).GetSlownessPercent()
+	report.notice = wire.ParseServerNotice(p.headers, answer.Header)
+	return report, nil
 }
 
 // close closes the idle connection to the health endpoint.
@@ -119,20 +133,24 @@
 // than maxAge and its slowness has changed recently.
 func (g *Gate) refreshSlowness(ctx context.Context, server *backendServer, maxAge time.Duration) {
 	path := g.healthPath.Load()
-	if path == nil || *path == "" || server.prober.loadHeader == "" || !g.limiter.needsReport(maxAge) {
+	if path == nil || *path == "" || server.prober.headers.Load == "" || !g.limiter.needsReport(maxAge) {
 		return
 	}
 	if allow := g.options.AllowProbe; allow != nil && !allow() {
 		return
 	}
-	slowness, err := server.prober.probe(ctx, "http://"+server.Address+*path)
+	report, err := server.prober.probe(ctx, "http://"+server.Address+*path)
 	if err != nil {
 		g.logger.Debug("health probe of the backend server failed", zap.String("server", server.ID), zap.Error(err))
 		return
 	}
-	if slowness > 0 {
+	if report == nil {
+		return
+	}
+	g.recordNotice(server, report.notice, noticeFromHealth)
+	if report.slowness > 0 {
 		g.counters.probes.Add(1)
-		g.limiter.recordSlowness(slowness)
+		g.limiter.recordSlowness(report.slowness)
 	}
 }
 
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -90,6 +90,8 @@
 	Trailer *http.Header
 	// Load is the load report that came with the answer, or nil.
 	Load *pb.LoadReport
+	// Notice is what the answer tells about the backend server's state, or nil.
+	Notice *ServerNotice
 	// ServerTime is the time that the backend server took until the answer's first byte.
 	ServerTime time.Duration
 }
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -76,6 +76,11 @@
 	// (how long work takes at the moment, in percent of the time at normal speed),
 	// separated by commas.
 	Load string
+	// RateLimit is the number of requests a second, a decimal number, that a backend server
+	// takes from all nodes together for as long as its answers name one.
+	RateLimit string
+	// Leaving marks the answers of a backend server that takes no new work.
+	Leaving string
 	// EchoesRequestID reports whether backend servers repeat RequestID on their answers.
 	EchoesRequestID bool
 }
--- a/internal/wire/serveranswer.go
+++ b/internal/wire/serveranswer.go
@@ -71,6 +71,7 @@
 		answer.Load = ParseServerLoad(header.Get(names.Load))
 		delete(header, names.Load)
 	}
+	answer.Notice = ParseServerNotice(names, header)
 	return nil
 }
 
