--- a/internal/gate/slowdown_test.go
+++ b/internal/gate/slowdown_test.go
@@ -18,6 +18,10 @@
 
 const loadHeader = "X-Load"
 
+// pastSlowdown is the duration of the test server's past slowdown, by which the gate
+// estimates that of the next one.
+const pastSlowdown = 5 * time.Millisecond
+
 // variableServer is a backend server that reports how slow its machine is.
 type variableServer struct {
 	slowness atomic.Uint32
@@ -46,6 +50,7 @@
 	g.SetServer(&Server{Service: "s", Address: backend.Listener.Addr().String(), Slots: 4, Connections: 10})
 	g.limiter.serviceTimes.Add("", 500*time.Millisecond, 1)
 	g.limiter.recordSlowness(400)
+	time.Sleep(pastSlowdown)
 	g.limiter.recordSlowness(100)
 	return g
 }
@@ -79,7 +84,7 @@
 			So(free.GetWorkUs(), ShouldEqual, 500_000)
 			server.slowness.Store(400)
 			time.Sleep(2 * maxReportAgeForOffer)
-			So(g.Offer(context.Background(), question).GetWaitUs(), ShouldBeGreaterThan, 0)
+			So(g.Offer(context.Background(), question).GetWaitUs(), ShouldBeGreaterThanOrEqualTo, pastSlowdown.Microseconds())
 			question.Service = "another"
 			So(g.Offer(context.Background(), question).GetRefused(), ShouldBeTrue)
 		})
