--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -45,16 +45,24 @@
 	return extra > s.Remaining && now.Add(s.Remaining).Before(r.latestStart())
 }
 
+// maxQueueTimeAtRate is how long a request may wait while the server's rate is limited:
+// about a round trip to another region. Requests of higher classes that arrive meanwhile
+// take the allowance first, so a longer wait would often be in vain.
+const maxQueueTimeAtRate = 50 * time.Millisecond
+
 // Ticket is a request in the queue.
 type Ticket struct {
 	Request
 	sequence uint64
 	waiting  bool
+	// latest is the time until which the request waits.
+	latest time.Time
 }
 
-// LatestStart returns the last time at which the request can start and still be
-// answered before its deadline. A request that waits until then is refused.
-func (t *Ticket) LatestStart() time.Time { return t.latestStart() }
+// LatestStart returns the time until which the request may wait: the last one at which
+// it can start and still be answered before its deadline, or an earlier one while the
+// server's rate is limited. A request that waits until then is refused.
+func (t *Ticket) LatestStart() time.Time { return t.latest }
 
 // Verdict is the decision on a request that arrives.
 type Verdict int
@@ -69,9 +77,11 @@
 	Refused
 )
 
-// Queue allocates the slots of one backend server and orders the requests that wait
-// for one. It isn't safe for concurrent use.
+// Queue allocates the slots of one backend server, within the request rate that it
+// takes, and orders the requests that wait. It isn't safe for concurrent use.
 type Queue struct {
+	// Rate is the request rate that the server takes.
+	Rate         RateLimit
 	limit        int
 	capacity     int
 	meanHoldTime time.Duration
@@ -103,12 +113,12 @@
 // Admit decides on a request that arrives. It returns the ticket of a request that
 // waits, and the ticket that was evicted to make room for it, if any.
 func (q *Queue) Admit(now time.Time, r Request) (verdict Verdict, ticket, evicted *Ticket) {
-	if q.running < q.limit && len(q.waiting) == 0 && !r.isFasterAfterSlowdown(now, q.slowdown) {
+	if q.running < q.limit && len(q.waiting) == 0 && !r.isFasterAfterSlowdown(now, q.slowdown) && q.Rate.Take(now) {
 		q.running++
 		return Granted, nil, nil
 	}
 	q.lastSequence++
-	ticket = &Ticket{Request: r, sequence: q.lastSequence}
+	ticket = q.newTicket(now, r, q.lastSequence)
 	if !q.canStartInTime(now, ticket) {
 		return Refused, nil, nil
 	}
@@ -123,6 +133,15 @@
 	return Queued, ticket, evicted
 }
 
+// newTicket returns the ticket of a request that arrives now.
+func (q *Queue) newTicket(now time.Time, r Request, sequence uint64) *Ticket {
+	t := &Ticket{Request: r, sequence: sequence, latest: r.latestStart()}
+	if limit := now.Add(maxQueueTimeAtRate); q.Rate.limited && limit.Before(t.latest) {
+		t.latest = limit
+	}
+	return t
+}
+
 // QueueEstimate is what a request can expect from the queue and the server.
 type QueueEstimate struct {
 	// Refused: the request would be refused.
@@ -139,12 +158,12 @@
 // Estimate returns what a request that arrives now can expect. It doesn't change
 // the queue.
 func (q *Queue) Estimate(now time.Time, r Request) QueueEstimate {
-	t := &Ticket{Request: r, sequence: q.lastSequence + 1}
+	t := q.newTicket(now, r, q.lastSequence+1)
 	estimate := QueueEstimate{Wait: q.expectedWait(now, t), ServiceTime: r.ServiceTime}
 	if estimate.Wait < q.slowdown.Remaining {
 		estimate.ServiceTime = time.Duration(float64(r.ServiceTime) * q.slowdown.Factor)
 	}
-	mustQueue := q.running >= q.limit || len(q.waiting) > 0 || r.isFasterAfterSlowdown(now, q.slowdown)
+	mustQueue := q.running >= q.limit || len(q.waiting) > 0 || r.isFasterAfterSlowdown(now, q.slowdown) || q.Rate.Wait(now, 0) > 0
 	estimate.AtOnce = !mustQueue && q.slowdown.Factor <= 1
 	estimate.Refused = mustQueue && (!q.canStartInTime(now, t) || !q.hasCapacity(now, t))
 	return estimate
@@ -165,7 +184,7 @@
 // none; a caller who is refused at once can retry in time.
 func (q *Queue) canStartInTime(now time.Time, t *Ticket) bool {
 	start := now.Add(q.expectedWait(now, t))
-	return start.Before(t.latestStart())
+	return start.Before(t.latest)
 }
 
 // expectedWait returns the expected time until t starts, after the requests that go
@@ -177,7 +196,7 @@
 			ahead++
 		}
 	}
-	wait := q.expectedWaitBehind(ahead)
+	wait := max(q.expectedWaitBehind(ahead), q.Rate.Wait(now, ahead))
 	if t.isFasterAfterSlowdown(now, q.slowdown) {
 		wait = max(wait, q.slowdown.Remaining)
 	}
@@ -196,7 +215,9 @@
 
 // ExpectedWait returns the expected wait of one more request behind all that wait
 // now.
-func (q *Queue) ExpectedWait() time.Duration { return q.expectedWaitBehind(len(q.waiting)) }
+func (q *Queue) ExpectedWait(now time.Time) time.Duration {
+	return max(q.expectedWaitBehind(len(q.waiting)), q.Rate.Wait(now, len(q.waiting)))
+}
 
 // before reports whether a goes before b: first by class, then requests that can
 // still meet their target before those that can't, then by target, then by arrival.
@@ -230,8 +251,8 @@
 	return best
 }
 
-// Delayed returns the number of requests that wait for the end of a slowdown
-// although a slot is free.
+// Delayed returns the number of requests that wait although a slot is free: for the
+// end of a slowdown, or for the server's rate.
 func (q *Queue) Delayed() int {
 	if q.running >= q.limit {
 		return 0
@@ -261,7 +282,7 @@
 		return nil
 	}
 	t := q.nextEligible(now)
-	if t == nil {
+	if t == nil || !q.Rate.Take(now) {
 		return nil
 	}
 	q.remove(t)
@@ -269,12 +290,12 @@
 	return t
 }
 
-// RemoveExpired removes and returns the requests that can no longer be answered
-// before their deadline.
+// RemoveExpired removes and returns the requests that have waited until their latest
+// start.
 func (q *Queue) RemoveExpired(now time.Time) []*Ticket {
 	var expired []*Ticket
 	for _, t := range q.waiting {
-		if now.After(t.latestStart()) {
+		if now.After(t.latest) {
 			expired = append(expired, t)
 		}
 	}
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -36,7 +36,7 @@
 	if kind := g.attempts.begin(call.Attempt); kind != 0 {
 		return wire.ErrorAnswer(kind, "the attempt came too late")
 	}
-	g.refreshSlowness(ctx, server, maxReportAgeAtStart)
+	g.refreshState(ctx, server, maxReportAgeAtStart)
 	if kind := g.limiter.acquire(ctx, slotRequestOf(call)); kind != 0 {
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		refusal := wire.ErrorAnswer(kind, "the request wasn't given a slot")
@@ -73,7 +73,7 @@
 
 func (r *run) do(ctx context.Context) *wire.Answer {
 	answer, err := r.send(ctx, false)
-	if err != nil && isSilentConnection(err) && r.call.Idempotent && !r.call.Streams() {
+	if err != nil && isSilentConnection(err) && r.call.Idempotent && !r.call.Streams() && r.gate.limiter.takeRepeat() {
 		r.gate.counters.silentConnections.Add(1)
 		answer, err = r.send(ctx, true)
 	}
@@ -82,7 +82,7 @@
 	}
 	answer.ServerTime = time.Since(r.startedAt)
 	r.gate.recordLoad(answer.Load)
-	r.gate.recordNotice(r.server, answer.Notice, noticeFromAnswer)
+	r.gate.recordNotice(r.server, r.startedAt, answer.Notice, noticeFromAnswer)
 	if answer.NotExecuted || answer.Misdirected {
 		return r.notExecuted(answer)
 	}
@@ -114,6 +114,7 @@
 }
 
 func (r *run) send(ctx context.Context, requireNewConn bool) (*wire.Answer, error) {
+	r.gate.counters.arrivals.Add(1)
 	return r.server.client.Do(ctx, wire.SendParams{
 		Addr:           r.server.Address,
 		Call:           r.call,
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -92,8 +92,9 @@
 	minSilence time.Duration
 	// healthPath is the path of the backend server's health endpoint.
 	healthPath atomic.Pointer[string]
-	// watchingSlowdown: a goroutine probes the server for the end of a slowdown.
-	watchingSlowdown atomic.Bool
+	// watchingDelayed: a goroutine starts the requests that wait although a slot is
+	// free.
+	watchingDelayed atomic.Bool
 }
 
 // New returns a gate without a backend server.
@@ -110,7 +111,7 @@
 		minSilence: minSilence,
 		attempts:   newAttempts(options.Incarnation, options.MaxAttemptRecords, options.MaxTotalAnswerBytes),
 	}
-	g.limiter.onDelayed = g.watchSlowdown
+	g.limiter.onDelayed = g.watchDelayed
 	g.registerMetrics(options.Meter)
 	return g
 }
@@ -126,7 +127,7 @@
 	}
 	if server == nil {
 		g.server.Store(nil)
-		g.limiter.configure(0)
+		g.limiter.configure(0, false)
 	} else {
 		options := g.options.ClientOptions
 		options.MaxConns = server.Connections
@@ -134,7 +135,7 @@
 		next := &backendServer{Server: *server, client: wire.NewClient(options), prober: newHealthProber(options.Headers)}
 		next.notices.latest.RatePerS = wire.NoRateLimit
 		g.server.Store(next)
-		g.limiter.configure(effectiveSlots(server))
+		g.limiter.configure(effectiveSlots(server), next.prober.headers.RateLimit != "")
 	}
 	if old == nil {
 		return
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -71,6 +71,9 @@
 	}
 }
 
+// reportsState reports whether the headers of the server's answers tell its state.
+func (p *healthProber) reportsState() bool { return p.headers.Load != "" || p.headers.RateLimit != "" }
+
 // probe returns the report of the server's health endpoint. Calls made while a probe
 // is in flight wait for its end and return nil, as do those in the pause after a
 // failed one.
@@ -129,11 +132,11 @@
 // has none.
 func (g *Gate) SetHealthPath(path string) { g.healthPath.Store(&path) }
 
-// refreshSlowness probes the backend server if its last slowness report is older
-// than maxAge and its slowness has changed recently.
-func (g *Gate) refreshSlowness(ctx context.Context, server *backendServer, maxAge time.Duration) {
+// refreshState probes the backend server if its state is worth asking for; maxAge is
+// the greatest age of a slowness report.
+func (g *Gate) refreshState(ctx context.Context, server *backendServer, maxAge time.Duration) {
 	path := g.healthPath.Load()
-	if path == nil || *path == "" || server.prober.headers.Load == "" || !g.limiter.needsReport(maxAge) {
+	if path == nil || *path == "" || !server.prober.reportsState() || !g.limiter.needsReport(maxAge) {
 		return
 	}
 	if allow := g.options.AllowProbe; allow != nil && !allow() {
@@ -147,27 +150,31 @@
 	if report == nil {
 		return
 	}
-	g.recordNotice(server, report.notice, noticeFromHealth)
+	g.recordNotice(server, report.askedAt, report.notice, noticeFromHealth)
 	if report.slowness > 0 {
 		g.counters.probes.Add(1)
 		g.limiter.recordSlowness(report.slowness)
 	}
 }
 
-// watchSlowdown probes the server periodically while requests wait for the end of a
-// slowdown, so that they start when it ends.
-func (g *Gate) watchSlowdown() {
-	if !g.watchingSlowdown.CompareAndSwap(false, true) {
+// watchDelayed starts the requests that wait although a slot is free: when the server's
+// rate allows the next one, or at the end of a slowdown, for which it probes the server
+// periodically.
+func (g *Gate) watchDelayed() {
+	if !g.watchingDelayed.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
-		defer g.watchingSlowdown.Store(false)
-		for g.limiter.delayedCount() > 0 {
-			time.Sleep(slowdownProbeInterval)
-			if server := g.server.Load(); server != nil {
-				g.refreshSlowness(context.Background(), server, slowdownProbeInterval/2)
+		for wait, rateLimited := g.limiter.delay(); wait > 0; wait, rateLimited = g.limiter.delay() {
+			time.Sleep(wait)
+			if server := g.server.Load(); server != nil && !rateLimited {
+				g.refreshState(context.Background(), server, slowdownProbeInterval/2)
 			}
 			g.limiter.grant()
 		}
+		g.watchingDelayed.Store(false)
+		if wait, _ := g.limiter.delay(); wait > 0 {
+			g.watchDelayed() // a request began to wait before the flag was cleared
+		}
 	}()
 }
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -8,9 +8,16 @@
 	"github.com/egretfield/egretfield/internal/admission"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/wire"
 )
 
 const (
+	// maxUnconfirmed is the number of requests at once at a server that may name a
+	// rate limit and hasn't answered yet.
+	maxUnconfirmed = 2
+	// maxRateAge is the age of the last answer that named a rate limit above which
+	// the server is asked whether the limit still holds.
+	maxRateAge = time.Second
 	classCount = int(pb.Class_CLASS_CRITICAL) + 1
 	// failureSampleWeight is the weight of the latest sample in the moving average
 	// of failures.
@@ -30,6 +37,9 @@
 	resolutions map[*admission.Ticket]chan errkind.Kind
 	slowdowns   admission.SlowdownTracker
 	failureRate float64 // moving average, 0 to 1
+	// unconfirmed is set until the first answer of a server that may name a rate
+	// limit.
+	unconfirmed bool
 	// onDelayed is called with the lock held when requests wait although a slot is
 	// free; it must not block.
 	onDelayed func()
@@ -40,12 +50,15 @@
 	return &limiter{queuePercent: defaultQueuePercent, resolutions: make(map[*admission.Ticket]chan errkind.Kind)}
 }
 
-// configure sets the number of slots and grants free ones to waiting requests. With
-// zero slots, waiting requests are refused.
-func (l *limiter) configure(slots int) {
+// configure sets the number of slots of a new server and grants free ones to waiting
+// requests. With zero slots, waiting requests are refused. mayLimit reports whether
+// the server may name a rate limit.
+func (l *limiter) configure(slots int, mayLimit bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.slots = slots
+	l.unconfirmed = mayLimit
+	l.queue.Rate = admission.RateLimit{}
 	l.setLimitsLocked()
 	if slots == 0 {
 		l.refuseWaitingLocked(pb.ErrorKind_ERROR_KIND_NOT_READY)
@@ -70,7 +83,41 @@
 }
 
 func (l *limiter) setLimitsLocked() {
-	l.queue.SetLimits(admission.ConcurrencyLimit(l.slots), l.slots*l.queuePercent/100)
+	limit := admission.ConcurrencyLimit(l.slots)
+	if l.unconfirmed {
+		limit = min(limit, maxUnconfirmed)
+	}
+	l.queue.SetLimits(limit, l.slots*l.queuePercent/100)
+}
+
+// recordAnswer records the notice, if any, in the server's answer to a request sent at
+// sentAt.
+func (l *limiter) recordAnswer(sentAt time.Time, notice *wire.ServerNotice) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if notice != nil {
+		l.queue.Rate.Observe(time.Now(), sentAt, notice.RatePerS)
+	}
+	if l.unconfirmed {
+		l.unconfirmed = false
+		l.setLimitsLocked()
+	}
+	l.grantLocked()
+}
+
+// rateLimit returns the request rate that the server names, and false if it names none.
+func (l *limiter) rateLimit() (perSecond float64, limited bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Rate.PerSecond()
+}
+
+// takeRepeat takes the allowance for sending a request to the server once more. It
+// reports whether there was one.
+func (l *limiter) takeRepeat() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Rate.Take(time.Now())
 }
 
 func (l *limiter) setQueuePercent(percent int) {
@@ -89,20 +136,33 @@
 	l.grantLocked()
 }
 
-// needsReport reports whether the server should be probed: the last report is older
-// than maxAge, and the slowness has changed recently.
+// needsReport reports whether the server should be probed: it hasn't answered yet, its
+// rate limit may have ended, or the last report is older than maxAge and the slowness
+// has changed recently.
 func (l *limiter) needsReport(maxAge time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	_, limited := l.queue.Rate.PerSecond()
+	if l.unconfirmed || limited && l.queue.Rate.NameAge(now) > maxRateAge {
+		return true
+	}
 	return l.slowdowns.ChangedRecently(now) && l.slowdowns.ReportAge(now) > maxAge
 }
 
-// delayedCount returns the number of requests that wait although a slot is free.
-func (l *limiter) delayedCount() int {
+// delay returns the time after which requests that wait although a slot is free should
+// be looked at again; zero: none waits so. rateLimited reports whether they wait for
+// the server's rate.
+func (l *limiter) delay() (wait time.Duration, rateLimited bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.queue.Delayed()
+	if l.queue.Delayed() == 0 {
+		return 0, false
+	}
+	if wait := l.queue.Rate.Wait(time.Now(), 0); wait > 0 {
+		return min(wait, maxRateAge), true
+	}
+	return slowdownProbeInterval, false
 }
 
 // slowdownFactor returns the factor on the service time of a request that starts
@@ -331,7 +391,7 @@
 // retryAfter returns the wait to suggest to a caller who is refused.
 func (l *limiter) retryAfter() time.Duration {
 	l.mu.Lock()
-	wait := l.queue.ExpectedWait()
+	wait := l.queue.ExpectedWait(time.Now())
 	l.mu.Unlock()
 	return admission.RetryAfter(wait)
 }
--- a/internal/gate/limiter_test.go
+++ b/internal/gate/limiter_test.go
@@ -34,7 +34,7 @@
 		run := func(name string, body func(ctx context.Context, l *limiter)) {
 			virtualtime.Test(t, func(t *testing.T) {
 				l := newLimiter()
-				l.configure(2)
+				l.configure(2, false)
 				ctx := context.Background()
 				for range 2 {
 					if kind := l.acquire(ctx, slotRequest{class: normal, deadline: time.Now().Add(time.Second)}); kind != 0 {
@@ -113,7 +113,7 @@
 			var kind errkind.Kind
 			run("gone", func(ctx context.Context, l *limiter) {
 				result := acquireAsync(ctx, l, normal, time.Second)
-				l.configure(0)
+				l.configure(0, false)
 				kind = <-result
 			})
 			So(kind, ShouldEqual, pb.ErrorKind_ERROR_KIND_NOT_READY)
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -22,6 +22,8 @@
 	// probes counts the answers of the backend server's health endpoint that
 	// reported a slowness.
 	probes atomic.Int64
+	// arrivals counts the requests sent to the backend server.
+	arrivals atomic.Int64
 	// untraced counts the log lines about requests dropped by the rate limit.
 	untraced atomic.Int64
 }
@@ -40,21 +42,27 @@
 	silentConnections, _ := meter.Int64ObservableCounter("egretfield.gate.silent_connections", metric.WithDescription("Connections to the backend server given up as silent."))
 	shed, _ := meter.Int64ObservableCounter("egretfield.gate.shed", metric.WithDescription("Requests that the backend server itself turned away."))
 	probes, _ := meter.Int64ObservableCounter("egretfield.gate.probes", metric.WithDescription("Answers of the backend server's health endpoint."))
+	arrivals, _ := meter.Int64ObservableCounter("egretfield.gate.arrivals", metric.WithDescription("Requests sent to the backend server."))
 	untraced, _ := meter.Int64ObservableCounter("egretfield.gate.untraced", metric.WithDescription("Lines about requests left out."))
 	running, _ := meter.Int64ObservableGauge("egretfield.gate.running", metric.WithDescription("Requests that hold a slot."))
 	queued, _ := meter.Int64ObservableGauge("egretfield.gate.queued", metric.WithDescription("Requests that wait for a slot."))
+	rateLimit, _ := meter.Float64ObservableGauge("egretfield.gate.rate_limit", metric.WithDescription("Requests a second that the backend server takes; absent while it names none."))
 	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g.observeAnswers(o, answers)
 		o.ObserveInt64(crashes, g.counters.crashes.Load())
 		o.ObserveInt64(silentConnections, g.counters.silentConnections.Load())
 		o.ObserveInt64(shed, g.counters.shed.Load())
 		o.ObserveInt64(probes, g.counters.probes.Load())
+		o.ObserveInt64(arrivals, g.counters.arrivals.Load())
+		if rate, limited := g.limiter.rateLimit(); limited {
+			o.ObserveFloat64(rateLimit, rate)
+		}
 		o.ObserveInt64(untraced, g.counters.untraced.Load())
 		report := g.Report()
 		o.ObserveInt64(running, int64(report.InFlight))
 		o.ObserveInt64(queued, int64(report.Queued))
 		return nil
-	}, answers, crashes, silentConnections, shed, probes, untraced, running, queued)
+	}, answers, crashes, silentConnections, shed, probes, arrivals, rateLimit, untraced, running, queued)
 	if err != nil {
 		g.logger.Error("gate metrics not registered", zap.Error(err))
 	}
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -29,9 +30,13 @@
 	return before
 }
 
-// recordNotice records what an answer of the server told about its state; nil:
-// nothing.
-func (g *Gate) recordNotice(server *backendServer, notice *wire.ServerNotice, source string) {
+// recordNotice records what the server's answer to a request sent at sentAt told about
+// its state; nil: nothing. The answers of a server that was replaced don't count.
+func (g *Gate) recordNotice(server *backendServer, sentAt time.Time, notice *wire.ServerNotice, source string) {
+	if g.server.Load() != server {
+		return
+	}
+	g.limiter.recordAnswer(sentAt, notice)
 	if notice == nil {
 		return
 	}
--- a/internal/gate/offer.go
+++ b/internal/gate/offer.go
@@ -25,7 +25,7 @@
 		offer.Refused = true
 		return offer
 	}
-	g.refreshSlowness(ctx, server, maxReportAgeForOffer)
+	g.refreshState(ctx, server, maxReportAgeForOffer)
 	g.limiter.offer(slotRequestOf(call), offer)
 	return offer
 }
--- a/internal/gate/trace.go
+++ b/internal/gate/trace.go
@@ -22,11 +22,12 @@
 		return
 	}
 	report := g.Report()
+	rate, _ := g.limiter.rateLimit()
 	g.logger.Info("request refused", zap.String("request", call.RequestID), zap.String("route", call.Route),
 		zap.String("outcome", errkind.Of(refusal.Kind).Name), zap.Uint32("running", report.GetInFlight()),
 		zap.Uint32("queued", report.GetQueued()), zap.Uint32("limit", report.GetSlots()),
 		zap.Uint32("usual_us", report.GetLatencyUs()), zap.Uint32("slowness_percent", report.GetSlownessPercent()),
-		zap.Duration("left", time.Until(call.Deadline)), zap.Duration("retry_after", refusal.RetryAfter))
+		zap.Float64("rate_limit_per_s", rate), zap.Duration("left", time.Until(call.Deadline)), zap.Duration("retry_after", refusal.RetryAfter))
 }
 
 // traceFailure logs the failure of a request that was sent to the backend server.
