DRAIN: a server whose answers say that it leaves is drained, by gates that start later too

Suspected, not seen: a gate that starts beside a leaving server knows it from heartbeats only, of which an early one may come late, so other nodes' requests could reach the server after they were told. Change: the gate reports the header to its node, which drains the instance as after a heartbeat, whatever later heartbeats of that start say; a gate whose first answer of a server says so refuses at once.

--- a/internal/announce/statement.go
+++ b/internal/announce/statement.go
@@ -49,6 +49,13 @@
 	startedUnixMs int64
 	sequence      uint64
 	gone          bool
+	// leaving is set if the server has said elsewhere that it is leaving.
+	leaving bool
+}
+
+// isSameStart reports whether s comes from the start of the server that p belongs to.
+func (p position) isSameStart(s Statement) bool {
+	return s.ID == p.id && (s.StartedUnixMs == 0 || s.StartedUnixMs == p.startedUnixMs)
 }
 
 // precedes reports whether the position is before that of s. If the start times
@@ -83,9 +90,10 @@
 		sequence = r.position.sequence
 	}
 	startedUnixMs := cmp.Or(s.StartedUnixMs, r.position.startedUnixMs)
-	r.position = position{id: s.ID, startedUnixMs: startedUnixMs, sequence: sequence, gone: s.Gone}
+	saidLeaving := r.position.leaving && r.position.isSameStart(s)
+	r.position = position{id: s.ID, startedUnixMs: startedUnixMs, sequence: sequence, gone: s.Gone, leaving: saidLeaving}
 	r.lastHeard = now
-	next := Change{Server: s.Server, Leaving: s.Leaving || s.Gone}
+	next := Change{Server: s.Server, Leaving: s.Leaving || s.Gone || saidLeaving}
 	if s.Gone {
 		next.Server = r.current.Server
 	}
@@ -107,6 +115,22 @@
 		a.GetAddress() == b.GetAddress() && a.GetSlots() == b.GetSlots() && a.GetConnections() == b.GetConnections()
 }
 
+// SetLeaving records that the backend server with the given ID, if it is the current
+// one, said elsewhere than in a statement that it is leaving. That holds for this start of
+// the server, whatever its later statements say.
+func (r *Receiver) SetLeaving(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.current.Server == nil || r.current.Server.GetServerId() != id {
+		return
+	}
+	r.position.leaving = r.position.id == id
+	if !r.current.Leaving {
+		r.current.Leaving = true
+		r.onChange(r.current)
+	}
+}
+
 // Forget clears the state of the backend server, for example after it was found dead,
 // so that its next statement counts as a change.
 func (r *Receiver) Forget() {
--- a/internal/announce/statement_test.go
+++ b/internal/announce/statement_test.go
@@ -34,6 +34,18 @@
 			So(changes, ShouldHaveLength, 2)
 			So(changes[1].Leaving, ShouldBeTrue)
 		})
+		Convey("a server that says elsewhere that it is leaving remains so in this start", func() {
+			r.SetLeaving("b")
+			So(changes, ShouldHaveLength, 1)
+			r.SetLeaving("a")
+			r.SetLeaving("a")
+			So(changes, ShouldHaveLength, 2)
+			So(changes[1].Leaving, ShouldBeTrue)
+			So(r.HandleStatement(now, newStatement("a", 100, 4)), ShouldEqual, VerdictAccepted)
+			So(changes, ShouldHaveLength, 2)
+			So(r.HandleStatement(now, newStatement("a", 200, 1)), ShouldEqual, VerdictAccepted)
+			So(changes[2].Leaving, ShouldBeFalse)
+		})
 		Convey("a late heartbeat doesn't bring back a server that is gone", func() {
 			So(r.HandleStatement(now, Statement{ID: "a", Gone: true}), ShouldEqual, VerdictAccepted)
 			So(r.HandleStatement(now, newStatement("a", 100, 9)), ShouldEqual, VerdictStale)
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -37,6 +37,10 @@
 		return wire.ErrorAnswer(kind, "the attempt came too late")
 	}
 	g.refreshState(ctx, server, maxReportAgeAtStart)
+	if server.notices.hasLeftBefore() {
+		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
+		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DRAINING, "the backend server is leaving")
+	}
 	if kind := g.limiter.acquire(ctx, slotRequestOf(call)); kind != 0 {
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		refusal := wire.ErrorAnswer(kind, "the request wasn't given a slot")
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -49,6 +49,10 @@
 	// OnServerDown is called when the backend server is found dead; may be nil. It must
 	// not call the gate in its own goroutine.
 	OnServerDown func()
+	// OnServerLeaving is called once when the backend server with this ID says in its
+	// answers that it takes no new work; may be nil. It must not call the gate in its own
+	// goroutine.
+	OnServerLeaving func(serverID string)
 	// AllowProbe reports whether a probe of the backend server's health endpoint
 	// fits the budget for measuring load; nil: it always does.
 	AllowProbe func() bool
@@ -133,7 +137,6 @@
 		options.MaxConns = server.Connections
 		options.ServerID = server.ID
 		next := &backendServer{Server: *server, client: wire.NewClient(options), prober: newHealthProber(options.Headers)}
-		next.notices.latest.RatePerS = wire.NoRateLimit
 		g.server.Store(next)
 		g.limiter.configure(effectiveSlots(server), next.prober.headers.RateLimit != "")
 	}
--- a/internal/gate/offer.go
+++ b/internal/gate/offer.go
@@ -26,6 +26,10 @@
 		return offer
 	}
 	g.refreshState(ctx, server, maxReportAgeForOffer)
+	if server.notices.hasLeftBefore() {
+		offer.Refused = true
+		return offer
+	}
 	g.limiter.offer(slotRequestOf(call), offer)
 	return offer
 }
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -165,15 +165,16 @@
 	n.balancers = newBalancers(balance.Options{Region: n.settings.GetRegion(), DataCentre: n.settings.GetDataCentre()}, n.members)
 	n.quarantineTable = quarantine.New(n.members, n.logger.Named("quarantine"))
 	n.gate = gate.New(gate.Options{
-		Instance:      n.settings.GetInstance(),
-		Incarnation:   n.members.Self().GetIncarnation(),
-		Quarantine:    n.quarantineTable,
-		Meter:         meter,
-		Logger:        n.logger.Named("gate"),
-		PeerToken:     token,
-		OnServerDown:  n.onServerDown,
-		AllowProbe:    func() bool { return n.limiter.Allow(budget.ClassProbe, healthProbeBytes) },
-		ClientOptions: wire.ClientOptions{Headers: n.headers()},
+		Instance:        n.settings.GetInstance(),
+		Incarnation:     n.members.Self().GetIncarnation(),
+		Quarantine:      n.quarantineTable,
+		Meter:           meter,
+		Logger:          n.logger.Named("gate"),
+		PeerToken:       token,
+		OnServerDown:    n.onServerDown,
+		OnServerLeaving: func(serverID string) { n.receiver.SetLeaving(serverID) },
+		AllowProbe:      func() bool { return n.limiter.Allow(budget.ClassProbe, healthProbeBytes) },
+		ClientOptions:   wire.ClientOptions{Headers: n.headers()},
 	})
 	n.offers = offer.New(n.sockets.offers, []byte(n.settings.GetSharedKey()), n.gate.Offer, n.limiter.AllowDatagram, n.logger.Named("offers"))
 	entryOptions := entry.Options{
