configlog: log whether the newest configuration of the log is taken, and count reads at missing offsets

CONFIG, observability: nothing told whether nodes wait at an offset of the lost history or refuse what they read after it.

--- a/internal/configlog/follow_log.go
+++ b/internal/configlog/follow_log.go
@@ -89,6 +89,7 @@
 	records, err := f.options.Log.Read(ctx, platformlog.ConfigStream, from, readBatch, wait)
 	f.setReadWaiting(false)
 	if errors.Is(err, platformlog.ErrTrimmed) {
+		f.metrics.trimmed()
 		return f.startFromSnapshot(ctx)
 	}
 	if err != nil {
@@ -146,11 +147,24 @@
 	}
 	defer f.recordAtEnd(started)
 	if state, ok := stateFromNewestReplacement(records, bounds); ok {
-		f.adopt(state, sourceLog)
+		f.logAdoption(state, bounds, f.adopt(state, sourceLog))
 	}
 	return bounds, nil
 }
 
+// logAdoption logs whether the newest configuration of the log was adopted, if that
+// differs from the last time.
+func (f *Follower) logAdoption(newest State, bounds platformlog.Bounds, adopted bool) {
+	if f.adoptionRefused.Swap(!adopted) == !adopted {
+		return
+	}
+	own := f.State()
+	f.logger.Info("newest configuration of the log", zap.Bool("adopted", adopted),
+		zap.Int64("version", newest.Version()), zap.Int64("operator_version", newest.Config.GetConfig().GetOperatorVersion()),
+		zap.Int64("log_next", bounds.Next), zap.Int64("folded_through", own.FoldedThrough),
+		zap.Int64("own_operator_version", own.Config.GetConfig().GetOperatorVersion()))
+}
+
 // startFromSnapshot starts the fold at the first usable snapshot among the records
 // kept, or at the newest configuration of a keyed log.
 func (f *Follower) startFromSnapshot(ctx context.Context) error {
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -57,6 +57,9 @@
 
 	subscribers subscribers
 	divergences atomic.Uint64
+	// adoptionRefused is set if the newest configuration of a keyed log was last
+	// refused.
+	adoptionRefused atomic.Bool
 
 	mu           sync.Mutex
 	folded       State
--- a/internal/configlog/metrics.go
+++ b/internal/configlog/metrics.go
@@ -13,12 +13,13 @@
 
 // metrics holds the gauges and counters of a follower.
 type metrics struct {
-	version     metric.Int64Gauge
-	folded      metric.Int64Gauge
-	records     metric.Int64Counter
-	reads       metric.Int64Counter
-	pullsFailed metric.Int64Counter
-	divergences metric.Int64Counter
+	version      metric.Int64Gauge
+	folded       metric.Int64Gauge
+	records      metric.Int64Counter
+	reads        metric.Int64Counter
+	trimmedReads metric.Int64Counter
+	pullsFailed  metric.Int64Counter
+	divergences  metric.Int64Counter
 }
 
 // newMetrics creates the metrics with meter. If meter is nil, they record nothing.
@@ -31,6 +32,7 @@
 	m.folded, _ = meter.Int64Gauge("egretfield.config.folded_through")
 	m.records, _ = meter.Int64Counter("egretfield.config.records")
 	m.reads, _ = meter.Int64Counter("egretfield.config.log_reads")
+	m.trimmedReads, _ = meter.Int64Counter("egretfield.config.trimmed_reads")
 	m.pullsFailed, _ = meter.Int64Counter("egretfield.config.pulls_failed")
 	m.divergences, _ = meter.Int64Counter("egretfield.config.divergences")
 	return m
@@ -57,6 +59,11 @@
 	m.reads.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("ok", err == nil)))
 }
 
+// trimmed counts a read at an offset that the log doesn't have.
+func (m *metrics) trimmed() {
+	m.trimmedReads.Add(context.Background(), 1)
+}
+
 func (m *metrics) pullFailed() {
 	m.pullsFailed.Add(context.Background(), 1)
 }
