CONFIG: offsets carry the era of the store's history, configurations compare by the operator's version

Cause: positions of the lost history were compared with positions of the new one. Readers refused the newest configuration because its offset wasn't above theirs, asked again without a pause, and took the next record for a known one. State.merge keeps the later configuration by the operator's version and the later position; digests and pulls name that version, so nodes that started from the older copy get the later one from peers. A rewrite of the version in force is taken. A log that ends before the offset asked for is an error with a pause.

--- a/internal/configlog/apply.go
+++ b/internal/configlog/apply.go
@@ -40,27 +40,44 @@
 	f.logEntry(entry)
 }
 
-// adopt replaces the state by a later one that was not folded from it and reports
-// whether it did.
+// adopt merges the state with one that was not folded from it and reports whether that
+// changed it.
 func (f *Follower) adopt(state State, source pb.ConfigSource) bool {
 	defer f.notify()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.folded
-	if state.FoldedThrough <= before.FoldedThrough || state.Version() < before.Version() {
+	merged := before.merge(state)
+	if merged == before {
 		return false
 	}
-	f.folded = state
+	f.folded = merged
 	f.buffer.reset()
+	f.logNewEra(before)
 	f.lastSnapshot.startAge(time.Now())
 	return f.stateChanged(before, source)
 }
 
+// logNewEra logs that the log came back from an older copy, and tells the node. The
+// caller holds f.mu.
+func (f *Follower) logNewEra(before State) {
+	era := platformlog.EraOf(f.folded.FoldedThrough)
+	if before.FoldedThrough == 0 || era == platformlog.EraOf(before.FoldedThrough) {
+		return
+	}
+	f.logger.Warn("the log came back from an older copy", zap.Int64("era", era),
+		zap.Int64("before", before.FoldedThrough), zap.Int64("folded_through", f.folded.FoldedThrough),
+		zap.Int64("operator_version", f.folded.OperatorVersion()))
+	if f.options.OnNewEra != nil {
+		go f.options.OnNewEra()
+	}
+}
+
 // stateChanged handles a change of the folded state: it wakes the waiters and puts
-// the state in force if the node may serve. It reports false if the state is still
-// at the offset of before. The caller holds f.mu.
+// the state in force if the node may serve. It reports false if the state is that of
+// before. The caller holds f.mu.
 func (f *Follower) stateChanged(before State, source pb.ConfigSource) bool {
-	if f.folded.FoldedThrough == before.FoldedThrough {
+	if f.folded == before {
 		return false
 	}
 	f.source = source
--- a/internal/configlog/follow_log.go
+++ b/internal/configlog/follow_log.go
@@ -27,6 +27,7 @@
 var (
 	errNotRead    = eris.New("not read yet")
 	errNoSnapshot = eris.New("the first records are trimmed and no snapshot is kept")
+	errBehind     = eris.New("the log ends before the state")
 )
 
 // followLog reads and folds the stream until ctx ends.
@@ -80,7 +81,9 @@
 		return nil // findTarget got the newest configuration along with the bounds
 	}
 	wait := f.readWait()
-	if !f.isReader() {
+	if !f.isReader() || !f.logHealthy() {
+		// After a failure the log may have come back from an older copy. An answer without
+		// a wait tells at once.
 		wait = 0
 	}
 	from := f.State().FoldedThrough + 1
@@ -90,7 +93,7 @@
 	f.setReadWaiting(false)
 	if errors.Is(err, platformlog.ErrTrimmed) {
 		f.metrics.trimmed()
-		return f.startFromSnapshot(ctx)
+		return f.startFromSnapshot(ctx, from)
 	}
 	if err != nil {
 		return err
@@ -137,39 +140,49 @@
 	return f.options.Log.Bounds(ctx, platformlog.ConfigStream)
 }
 
-// adoptNewest starts the fold at the newest configuration of a keyed log, unless the
-// state is newer.
+// adoptNewest continues the fold at the end of a keyed log, with the newest configuration
+// there unless that of the state is later.
 func (f *Follower) adoptNewest(ctx context.Context, log platformlog.KeyedLog) (platformlog.Bounds, error) {
 	started := time.Now()
 	records, bounds, err := log.Newest(ctx, platformlog.ConfigStream)
 	if err != nil {
 		return bounds, err
 	}
-	defer f.recordAtEnd(started)
-	if state, ok := stateFromNewestReplacement(records, bounds); ok {
-		f.logAdoption(state, bounds, f.adopt(state, sourceLog))
+	newest, ok := stateFromNewestReplacement(records, bounds)
+	if !ok {
+		newest = Empty()
+		newest.FoldedThrough = bounds.Next - 1
+	}
+	f.adopt(newest, sourceLog)
+	f.logOlder(newest)
+	if f.State().FoldedThrough < bounds.Next {
+		f.recordAtEnd(started)
 	}
 	return bounds, nil
 }
 
-// logAdoption logs whether the newest configuration of the log was adopted, if that
-// differs from the last time.
-func (f *Follower) logAdoption(newest State, bounds platformlog.Bounds, adopted bool) {
-	if f.adoptionRefused.Swap(!adopted) == !adopted {
+// logOlder logs that the newest configuration of the log is older than the own one, once
+// until that changes: the log came back from an older copy, and the operators have yet to
+// write again what it lost.
+func (f *Follower) logOlder(newest State) {
+	own := f.State()
+	isOlder := newest.OperatorVersion() < own.OperatorVersion()
+	if f.logHasOlder.Swap(isOlder) == isOlder {
 		return
 	}
-	own := f.State()
-	f.logger.Info("newest configuration of the log", zap.Bool("adopted", adopted),
-		zap.Int64("version", newest.Version()), zap.Int64("operator_version", newest.Config.GetConfig().GetOperatorVersion()),
-		zap.Int64("log_next", bounds.Next), zap.Int64("folded_through", own.FoldedThrough),
-		zap.Int64("own_operator_version", own.Config.GetConfig().GetOperatorVersion()))
+	f.logger.Warn("configuration of the log compared with the own one", zap.Bool("older", isOlder),
+		zap.Int64("operator_version", newest.OperatorVersion()), zap.Int64("own_operator_version", own.OperatorVersion()),
+		zap.Int64("log_through", newest.FoldedThrough), zap.Int64("folded_through", own.FoldedThrough))
 }
 
 // startFromSnapshot starts the fold at the first usable snapshot among the records
-// kept, or at the newest configuration of a keyed log.
-func (f *Follower) startFromSnapshot(ctx context.Context) error {
+// kept, or at the end of a keyed log. The log doesn't have the offset trimmed.
+func (f *Follower) startFromSnapshot(ctx context.Context, trimmed int64) error {
 	if keyed, ok := f.options.Log.(platformlog.KeyedLog); ok {
-		_, err := f.adoptNewest(ctx, keyed)
+		bounds, err := f.adoptNewest(ctx, keyed)
+		if err == nil && f.State().FoldedThrough < trimmed {
+			err = eris.Wrapf(errBehind, "next offset %d, expected at least %d", bounds.Next, trimmed)
+		}
 		return err
 	}
 	bounds, err := f.options.Log.Bounds(ctx, platformlog.ConfigStream)
--- a/internal/configlog/follow_peers.go
+++ b/internal/configlog/follow_peers.go
@@ -76,13 +76,25 @@
 func (f *Follower) OnDigest(addr string, digest *pb.ConfigDigest) {
 	own := f.State()
 	switch {
-	case digest.GetFoldedThrough() > own.FoldedThrough:
+	case isAhead(digest, own):
 		f.pullState.setAhead(addr)
-	case digest.GetFoldedThrough() == own.FoldedThrough && digest.GetChain() != own.Chain:
+	case divergesFrom(digest, own):
 		f.reportDivergence(addr)
 	}
 }
 
+// isAhead reports whether the digest's node has a later position or configuration.
+func isAhead(digest *pb.ConfigDigest, own State) bool {
+	return digest.GetFoldedThrough() > own.FoldedThrough || digest.GetOperatorVersion() > own.OperatorVersion()
+}
+
+// divergesFrom reports whether the digest's node folded other records up to the same
+// position. A node with an older configuration there has yet to get the later one.
+func divergesFrom(digest *pb.ConfigDigest, own State) bool {
+	return digest.GetFoldedThrough() == own.FoldedThrough && digest.GetOperatorVersion() == own.OperatorVersion() &&
+		digest.GetChain() != own.Chain
+}
+
 // followPeers pulls from peers that are ahead, and from random peers while the log
 // can't be read, until ctx ends.
 func (f *Follower) followPeers(ctx context.Context) error {
@@ -179,8 +191,9 @@
 // pullFrom pulls from the peer at addr until the state has caught up with it.
 func (f *Follower) pullFrom(ctx context.Context, addr string) error {
 	for range maxPullRounds {
-		from := f.State().FoldedThrough + 1
-		reply, err := f.callPull(ctx, addr, from)
+		own := f.State()
+		from := own.FoldedThrough + 1
+		reply, err := f.callPull(ctx, addr, own)
 		if err != nil {
 			return err
 		}
@@ -207,11 +220,11 @@
 	f.confirmedAt = time.Now()
 }
 
-func (f *Follower) callPull(ctx context.Context, addr string, from int64) (*pb.ConfigPullReply, error) {
+func (f *Follower) callPull(ctx context.Context, addr string, own State) (*pb.ConfigPullReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	reply := &pb.ConfigPullReply{}
-	err := f.options.ControlClient.Call(ctx, addr, pullMethod, &pb.ConfigPull{From: from}, reply)
+	err := f.options.ControlClient.Call(ctx, addr, pullMethod, &pb.ConfigPull{From: own.FoldedThrough + 1, OperatorVersion: own.OperatorVersion()}, reply)
 	return reply, err
 }
 
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -37,6 +37,9 @@
 	// StaleAfter is how long a node that is no reader goes without confirmation that
 	// it is at the end of the log. Values below 4 s, zero included, mean 4 s.
 	StaleAfter time.Duration
+	// OnNewEra is called in a goroutine of its own after the log came back from an older
+	// copy. Nil means nothing.
+	OnNewEra func()
 	// Logger receives a line for each change of state. Nil disables logging.
 	Logger *zap.Logger
 	// Meter creates the metrics. Nil disables them.
@@ -57,9 +60,9 @@
 
 	subscribers subscribers
 	divergences atomic.Uint64
-	// adoptionRefused is set if the newest configuration of a keyed log was last
-	// refused.
-	adoptionRefused atomic.Bool
+	// logHasOlder is set if the newest configuration of a keyed log was last seen to be
+	// older than the own one.
+	logHasOlder atomic.Bool
 
 	mu           sync.Mutex
 	folded       State
--- a/internal/configlog/freshness.go
+++ b/internal/configlog/freshness.go
@@ -112,10 +112,7 @@
 	if digest.GetAtEndAgeMs() == 0 {
 		return
 	}
-	own := f.State()
-	behind := digest.GetFoldedThrough() > own.FoldedThrough
-	differs := digest.GetFoldedThrough() == own.FoldedThrough && digest.GetChain() != own.Chain
-	if behind || differs {
+	if own := f.State(); isAhead(digest, own) || divergesFrom(digest, own) {
 		return
 	}
 	f.recordAtEnd(requestedAt.Add(-time.Duration(digest.GetAtEndAgeMs()) * time.Millisecond))
--- a/internal/configlog/replace.go
+++ b/internal/configlog/replace.go
@@ -17,7 +17,7 @@
 		return next, nil
 	}
 	entry := newEntry(message, record)
-	if reason := checkReplacement(state, replacement); reason != nil {
+	if reason := checkReplacement(state, replacement, record.Offset); reason != nil {
 		refuse(entry, reason.kind, reason.message)
 		next.Config = withAudit(state.Config, entry)
 		return next, entry
@@ -36,10 +36,13 @@
 	message string
 }
 
-// checkReplacement returns the reason why replacement can't replace the
+// checkReplacement returns the reason why replacement, at offset, can't replace the
 // configuration of state, or nil.
-func checkReplacement(state State, replacement *pb.Config) *refusal {
-	if replacement.GetOperatorVersion() <= state.Config.GetConfig().GetOperatorVersion() {
+func checkReplacement(state State, replacement *pb.Config, offset int64) *refusal {
+	version := replacement.GetOperatorVersion()
+	// Operators write again what a log lost that came back from an older copy.
+	isRewrite := version == state.OperatorVersion() && platformlog.EraOf(offset) > platformlog.EraOf(state.Version())
+	if version <= state.OperatorVersion() && !isRewrite {
 		return &refusal{pb.ErrorKind_ERROR_KIND_CONFLICT, "the version isn't above the one in force"}
 	}
 	if err := config.Check(replacement); err != nil {
--- a/internal/configlog/rpc.go
+++ b/internal/configlog/rpc.go
@@ -37,6 +37,9 @@
 	defer f.mu.Unlock()
 	reply.Digest = f.folded.Digest()
 	if args.GetFrom() > f.folded.FoldedThrough {
+		if f.folded.OperatorVersion() > args.GetOperatorVersion() {
+			reply.Snapshot = f.folded.Snapshot()
+		}
 		return nil
 	}
 	reply.Records, reply.Chain = f.buffer.recordsFrom(args.GetFrom())
--- a/internal/configlog/state.go
+++ b/internal/configlog/state.go
@@ -39,12 +39,48 @@
 	return s.Config.GetVersion()
 }
 
+// OperatorVersion returns the operator's version of the configuration; zero: it has none.
+func (s State) OperatorVersion() int64 {
+	return s.Config.GetConfig().GetOperatorVersion()
+}
+
+// merge returns the state with the later configuration and the later position of s and
+// other. A log that came back from an older copy may hold an older configuration at a later
+// offset, so configurations with operator's versions compare by these. The chain belongs to
+// the configuration then: only an accepted replacement changes it. Without operator's
+// versions, configuration and position belong together.
+func (s State) merge(other State) State {
+	if s.OperatorVersion() == 0 && other.OperatorVersion() == 0 {
+		if other.FoldedThrough > s.FoldedThrough && other.Version() >= s.Version() {
+			return other
+		}
+		return s
+	}
+	merged := s
+	if other.hasLaterConfig(s) {
+		merged = other
+	}
+	merged.FoldedThrough = max(s.FoldedThrough, other.FoldedThrough)
+	return merged
+}
+
+func (s State) hasLaterConfig(other State) bool {
+	if own, others := s.OperatorVersion(), other.OperatorVersion(); own != others {
+		return own > others
+	}
+	if s.Version() != other.Version() {
+		return s.Version() > other.Version()
+	}
+	return s.FoldedThrough > other.FoldedThrough
+}
+
 // Digest returns the version, the position and the chain of the state.
 func (s State) Digest() *pb.ConfigDigest {
 	return &pb.ConfigDigest{
-		Version:       s.Version(),
-		FoldedThrough: s.FoldedThrough,
-		Chain:         s.Chain,
+		Version:         s.Version(),
+		FoldedThrough:   s.FoldedThrough,
+		Chain:           s.Chain,
+		OperatorVersion: s.OperatorVersion(),
 	}
 }
 
--- a/internal/configlog/subscribe.go
+++ b/internal/configlog/subscribe.go
@@ -11,8 +11,10 @@
 type subscribers struct {
 	mu       sync.Mutex
 	handlers []*handler
-	// lastApplied is the offset applied by the state last passed to the handlers.
-	lastApplied int64
+	// lastApplied and lastOperatorVersion are those of the state last passed to the
+	// handlers.
+	lastApplied         int64
+	lastOperatorVersion int64
 }
 
 type handler struct {
@@ -46,10 +48,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := f.Current()
-	if state == nil || state.GetApplied() <= s.lastApplied {
+	if state == nil || state.GetApplied() == s.lastApplied && state.GetConfig().GetOperatorVersion() == s.lastOperatorVersion {
 		return
 	}
 	s.lastApplied = state.GetApplied()
+	s.lastOperatorVersion = state.GetConfig().GetOperatorVersion()
 	for _, handler := range s.handlers {
 		handler.call(state)
 	}
--- a/internal/platformlog/log.go
+++ b/internal/platformlog/log.go
@@ -1,8 +1,8 @@
 // Package platformlog defines the interface to the platform's append-only log.
 //
 // A log holds named streams of records. The offset of a record is its position in
-// its stream: offsets start at 1 and increase by one. Records are kept for a limited
-// time; older ones are trimmed.
+// its stream: offsets start at 1 and increase by one, or by more at the start of a new
+// era, see OffsetsPerEra. Records are kept for a limited time; older ones are trimmed.
 package platformlog
 
 import (
@@ -27,7 +27,8 @@
 	ErrUnavailable = eris.New("log unavailable")
 	// ErrUnknownOutcome means that an append may or may not have taken effect.
 	ErrUnknownOutcome = eris.New("log append outcome unknown")
-	// ErrTrimmed means that the requested offset is older than the first record kept.
+	// ErrTrimmed means that the requested offset is older than the first record kept,
+	// or of another era than the log's.
 	ErrTrimmed = eris.New("log offset trimmed")
 )
 
@@ -65,7 +66,7 @@
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
 	// Read returns up to max records starting at offset from, in order. If there are
 	// none, it waits up to wait for one and then returns an empty slice. The error is
-	// ErrTrimmed if from is older than the first record kept.
+	// ErrTrimmed if from is older than the first record kept or of another era.
 	Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) ([]Record, error)
 	// Bounds returns the bounds of the stream.
 	Bounds(ctx context.Context, stream string) (Bounds, error)
