member: append the join record again after the log came back from an older copy

Suspected, not seen: a restored store may lack the join records of running nodes, which append one in half an hour, so a node that starts then finds a part of the fleet or nobody. Change: a follower that sees a new era tells the node, whose member list appends its record within the join spread.

--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -27,6 +27,8 @@
 
 	view  atomic.Pointer[View]
 	stats counters
+	// joinLost is set if the log may lack this node's join record.
+	joinLost atomic.Bool
 
 	mu             sync.Mutex
 	rand           *rand.Rand
--- a/internal/member/logcalls_test.go
+++ b/internal/member/logcalls_test.go
@@ -95,3 +95,37 @@
 	}
 	return join.GetMember().GetInstance()
 }
+
+// A node that starts after the log lost the join records of a running fleet must find it.
+func TestJoinAfterLogLoss(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.close()
+		log := &keyedLog{fakeLog: c.log}
+		c.keyed = log
+		var nodes []*node
+		for i := range 6 {
+			name := fmt.Sprintf("a%d", i)
+			nodes = append(nodes, c.start(name, name+":1", "region"))
+		}
+		joined := await(20*time.Second, func() bool { return converged(nodes) })
+		time.Sleep(5 * time.Second)
+		log.mu.Lock()
+		log.records = nil
+		log.mu.Unlock()
+		for _, n := range nodes {
+			n.list.AppendJoin()
+		}
+		time.Sleep(DefaultJoinSpread + 2*logPollInterval)
+		appends := log.appends.Load()
+		fleet := append(nodes, c.start("b", "b:1", "region"))
+		found := await(5*time.Second, func() bool { return converged(fleet) })
+		time.Sleep(10 * time.Second)
+		Convey("Every node appends its join record once, and the new one finds the fleet", t, func() {
+			So(joined, ShouldBeGreaterThanOrEqualTo, 0)
+			So(appends, ShouldEqual, 2*len(nodes))
+			So(found, ShouldBeBetween, 0, 5*time.Second)
+			So(log.appends.Load(), ShouldEqual, 2*len(nodes)+1)
+		})
+	})
+}
--- a/internal/member/memberstream.go
+++ b/internal/member/memberstream.go
@@ -51,12 +51,12 @@
 // followLog reads the member stream and appends to it until the list is closed.
 func (l *List) followLog() {
 	now := time.Now()
-	l.mu.Lock()
-	initialDelay := time.Duration(l.rand.Int64N(int64(l.opts.JoinSpread)))
-	l.mu.Unlock()
-	f := &logFollower{l: l, nextRead: now, nextAppend: now.Add(initialDelay)}
+	f := &logFollower{l: l, nextRead: now, nextAppend: now.Add(l.joinDelay())}
 	for {
 		now = time.Now()
+		if l.joinLost.Swap(false) {
+			f.nextAppend = now.Add(l.joinDelay())
+		}
 		if !now.Before(f.nextRead) || l.needsLogProbe(now) {
 			f.read()
 		}
@@ -69,6 +69,19 @@
 	}
 }
 
+// joinDelay returns the random delay before an append that all nodes make at the same
+// time.
+func (l *List) joinDelay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.rand.Int64N(int64(l.opts.JoinSpread)))
+}
+
+// AppendJoin makes the node append its join record again within the join spread: the log
+// came back from an older copy, which may lack it. Nodes that start would otherwise not
+// find this one in the log.
+func (l *List) AppendJoin() { l.joinLost.Store(true) }
+
 // needsLogProbe reports whether the log should be read early because neither a
 // member nor the log has answered for logProbeInterval.
 func (l *List) needsLogProbe(now time.Time) bool {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -123,6 +123,7 @@
 		IsReader:      n.isConfigReader,
 		ReadWait:      n.configReadWait(),
 		StaleAfter:    n.configReadWait(),
+		OnNewEra:      func() { n.members.AppendJoin() },
 		Logger:        n.logger.Named("config"),
 		Meter:         options.Metrics.Meter(),
 	})
