gate: a server that announces itself again starts without the notices of its former start

Found by reading, not seen: a server may start again under its ID, address and slots. A gate that had found it leaving would have refused everything at the new start too, and never have reported its next leaving. An answer 421 comes from another server and tells nothing about this one. Evidence: platform.TestRequestsToLeavingServer, with the new case; race detector passes on gate and platform.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -130,8 +130,10 @@
 }
 
 // handleReannouncement handles a repeated announcement without changes. The server
-// may have restarted at the same address.
+// may have restarted at the same address, so what its answers told no longer counts.
 func (g *Gate) handleReannouncement(server *backendServer) {
+	server.notices.reset()
+	g.limiter.resetRate(server.prober.headers.RateLimit != "")
 	if server.client.AllIdleClosed(server.Address) {
 		g.reportCrash(server)
 	}
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -86,7 +86,9 @@
 	}
 	answer.ServerTime = time.Since(r.startedAt)
 	r.gate.recordLoad(answer.Load)
-	r.gate.recordNotice(r.server, r.startedAt, answer.Notice, noticeFromAnswer)
+	if !answer.Misdirected { // that is another server's answer
+		r.gate.recordNotice(r.server, r.startedAt, answer.Notice, noticeFromAnswer)
+	}
 	if answer.NotExecuted || answer.Misdirected {
 		return r.notExecuted(answer)
 	}
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -57,15 +57,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.slots = slots
-	l.unconfirmed = mayLimit
-	l.queue.Rate = admission.RateLimit{}
-	l.setLimitsLocked()
+	l.resetRateLocked(mayLimit)
 	if slots == 0 {
 		l.refuseWaitingLocked(pb.ErrorKind_ERROR_KIND_NOT_READY)
 	}
 	l.grantLocked()
 }
 
+// resetRate forgets the server's rate limit. mayLimit reports whether it may name one.
+func (l *limiter) resetRate(mayLimit bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resetRateLocked(mayLimit)
+}
+
+func (l *limiter) resetRateLocked(mayLimit bool) {
+	l.unconfirmed = mayLimit
+	l.queue.Rate = admission.RateLimit{}
+	l.setLimitsLocked()
+}
+
 // refuseWaiting refuses the requests in the queue and returns their number.
 func (l *limiter) refuseWaiting(kind errkind.Kind) int {
 	l.mu.Lock()
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -43,6 +43,13 @@
 	return before, report
 }
 
+// reset forgets all notices.
+func (t *noticeTracker) reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard, t.latest, t.leftBefore, t.reported = false, wire.ServerNotice{}, false, false
+}
+
 // hasLeftBefore reports whether the server was leaving before the gate knew it.
 func (t *noticeTracker) hasLeftBefore() bool {
 	t.mu.Lock()
