LIMIT: egretctl explain says that a backend server takes at most so many requests a second

Load reports on answers between nodes carry the rate limit behind the other figures; nodes of earlier builds ignore it.

--- a/internal/balance/endpointstate.go
+++ b/internal/balance/endpointstate.go
@@ -28,6 +28,7 @@
 // loadReport is a load report together with the state of this entry at its arrival.
 type loadReport struct {
 	load              float64
+	rateLimitPerS     *float64 // nil: none
 	inFlightAtReceipt int64
 	receivedAt        time.Time
 	// uses counts the picks that relied on the report; see probePool.
@@ -124,6 +125,7 @@
 	}
 	s.loadReport.Store(&loadReport{
 		load:              reported,
+		rateLimitPerS:     load.RateLimitPerS,
 		inFlightAtReceipt: s.inFlight.Load(),
 		receivedAt:        now,
 	})
--- a/internal/balance/facts.go
+++ b/internal/balance/facts.go
@@ -21,6 +21,9 @@
 	// age, negative if there is no report.
 	Load    float64
 	LoadAge time.Duration
+	// RateLimitPerS is the number of requests a second that the backend server takes, by
+	// that report; nil if it names no limit.
+	RateLimitPerS *float64
 	// Latency is the mean latency measured by this entry; zero if there is none yet.
 	Latency time.Duration
 }
@@ -88,6 +91,7 @@
 	}
 	if r := s.loadReport.Load(); r != nil {
 		f.Load = r.load
+		f.RateLimitPerS = r.rateLimitPerS
 		f.LoadAge = now.Sub(r.receivedAt)
 	}
 	return f
--- a/internal/ctl/explain_endpoint.go
+++ b/internal/ctl/explain_endpoint.go
@@ -41,6 +41,9 @@
 	if report := endpoint.GetReport(); report != nil {
 		finding.Because = append(finding.Because, fmt.Sprintf("reported %d in flight and %d queued on %d slots, %.1f s ago",
 			report.GetInFlight(), report.GetQueued(), report.GetSlots(), float64(endpoint.GetReportAgeMs())/1000))
+		if report.RateLimitPerS != nil {
+			finding.Because = append(finding.Because, fmt.Sprintf("its backend server takes at most %g requests a second", report.GetRateLimitPerS()))
+		}
 	}
 	return finding
 }
--- a/internal/ctl/session_test.go
+++ b/internal/ctl/session_test.go
@@ -70,7 +70,7 @@
 	if request.GetInstance() == instances[2] {
 		reply.Endpoints = []*pb.EndpointFacts{{
 			Member: memberOf(instances[2]), Reasons: []string{"draining"}, Picks: 12, Successes: 11, Refusals: 1,
-			Report: &pb.LoadReport{InFlight: 2, Slots: 10}, ReportAgeMs: 1500,
+			Report: &pb.LoadReport{InFlight: 2, Slots: 10, RateLimitPerS: new(3.2)}, ReportAgeMs: 1500,
 		}}
 	}
 	if keeper := s.nodes[0].keeper; keeper != nil {
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -383,6 +383,9 @@
 	report.LatencyUs = uint32(min(l.serviceTimes.Mean().Microseconds(), 1<<31))
 	report.ErrorsPermille = uint32(l.failureRate * 1000)
 	report.SlownessPercent = l.slowdowns.Slowness()
+	if rate, limited := l.queue.Rate.PerSecond(); limited {
+		report.RateLimitPerS = &rate
+	}
 }
 
 func (l *limiter) meanHoldTime() time.Duration {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -273,7 +273,9 @@
 	facts.Refusals = known.Refusals
 	facts.Unreachable = known.Unreachable
 	if known.LoadAge >= 0 {
-		facts.Report = &pb.LoadReport{InFlight: uint32(known.Load), LatencyUs: uint32(known.Latency.Microseconds())}
+		facts.Report = &pb.LoadReport{
+			InFlight: uint32(known.Load), LatencyUs: uint32(known.Latency.Microseconds()), RateLimitPerS: known.RateLimitPerS,
+		}
 		facts.ReportAgeMs = uint32(known.LoadAge.Milliseconds())
 	}
 }
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
@@ -35,6 +36,10 @@
 		got, serverTime := ParseLoad(FormatLoad(report, 6*time.Microsecond))
 		So(got.String(), ShouldEqual, report.String())
 		So(serverTime, ShouldEqual, 6*time.Microsecond)
+		report.RateLimitPerS = proto.Float64(3.2)
+		got, serverTime = ParseLoad(FormatLoad(report, 6*time.Microsecond))
+		So(got.String(), ShouldEqual, report.String())
+		So(serverTime, ShouldEqual, 6*time.Microsecond)
 	})
 	Convey("Generated request ids differ, and malformed ids are rejected", t, func() {
 		ids := NewIDs()
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -12,7 +12,8 @@
 const loadFields = 8
 
 // FormatLoad returns the value of HeaderLoad: a load report and the backend server's time
-// to the first byte. The instance is omitted, since the receiver knows it.
+// to the first byte, then the rate limit if there is one. The instance is omitted, since
+// the receiver knows it.
 func FormatLoad(report *pb.LoadReport, serverTime time.Duration) string {
 	buf := make([]byte, 0, 64)
 	buf = strconv.AppendUint(buf, report.Incarnation, 16)
@@ -23,6 +24,10 @@
 		buf = append(buf, ' ')
 		buf = strconv.AppendUint(buf, uint64(value), 10)
 	}
+	if report.RateLimitPerS != nil {
+		buf = append(buf, ' ')
+		buf = strconv.AppendFloat(buf, report.GetRateLimitPerS(), 'g', -1, 64)
+	}
 	return string(buf)
 }
 
@@ -43,9 +48,13 @@
 		}
 		values[i] = uint32(value)
 	}
-	return &pb.LoadReport{
+	report = &pb.LoadReport{
 		Incarnation: incarnation,
 		InFlight:    values[0], Queued: values[1], Slots: values[2],
 		LatencyUs: values[3], ErrorsPermille: values[4], SlownessPercent: values[5],
-	}, time.Duration(values[6]) * time.Microsecond
+	}
+	if rate, err := strconv.ParseFloat(rest, 64); err == nil {
+		report.RateLimitPerS = &rate
+	}
+	return report, time.Duration(values[6]) * time.Microsecond
 }
