member: nodes that start together read the member stream once

Cause: a node took an empty stream for a fleet of its own and read again a second later, and one that hadn't compared its whole view read each second, also when members had answered. Change: a node that reaches a member reads once in a minute; others tell it the rest. One that reaches none reads again a second after the last read, or after its own record is written if the stream was empty. After a read it tries eight addresses at once, so that those it reaches needn't read again.

--- a/internal/member/memberstream.go
+++ b/internal/member/memberstream.go
@@ -20,10 +20,13 @@
 	appendInterval = 30 * time.Minute
 	// appendRetryInterval is the time until a failed append is tried again.
 	appendRetryInterval = 15 * time.Second
-	// readInterval is the time between reads of the member stream once the node has
-	// joined, and joinReadInterval that between reads until then.
+	// readInterval is the time between reads of the member stream, and
+	// joinReadInterval that between reads of a node that reaches no member.
 	readInterval     = time.Minute
 	joinReadInterval = time.Second
+	// joinFanout is the number of addresses tried at once after a read. Of nodes that
+	// start together, those that are reached needn't read the stream again.
+	joinFanout = 8
 	// logProbeInterval is the time without an answer from a member or the log after
 	// which the log is read early.
 	logProbeInterval = time.Second
@@ -44,20 +47,22 @@
 type logFollower struct {
 	l          *List
 	nextOffset int64
-	nextRead   time.Time
-	nextAppend time.Time
+	// nextRead is when the stream is read next, and nextReadAlone when by a node that
+	// reaches no member.
+	nextRead, nextReadAlone time.Time
+	nextAppend              time.Time
 }
 
 // followLog reads the member stream and appends to it until the list is closed.
 func (l *List) followLog() {
 	now := time.Now()
-	f := &logFollower{l: l, nextRead: now, nextAppend: now.Add(l.joinDelay())}
+	f := &logFollower{l: l, nextRead: now, nextReadAlone: now, nextAppend: now.Add(l.joinDelay())}
 	for {
 		now = time.Now()
 		if l.joinLost.Swap(false) {
 			f.nextAppend = now.Add(l.joinDelay())
 		}
-		if !now.Before(f.nextRead) || l.needsLogProbe(now) {
+		if f.isReadDue(now) || l.needsLogProbe(now) {
 			f.read()
 		}
 		if !now.Before(f.nextAppend) {
@@ -87,7 +92,18 @@
 func (l *List) needsLogProbe(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.health.sinceLastReply(now) >= logProbeInterval
+	return !l.noReachableMember() && l.health.sinceLastReply(now) >= logProbeInterval
+}
+
+// isReadDue reports whether the stream should be read: once in readInterval, or sooner
+// while no member is reachable that would tell of the others.
+func (f *logFollower) isReadDue(now time.Time) bool {
+	f.l.mu.Lock()
+	defer f.l.mu.Unlock()
+	if f.l.noReachableMember() {
+		return !now.Before(f.nextReadAlone)
+	}
+	return !now.Before(f.nextRead)
 }
 
 // read handles the records appended since the last read and schedules the next one.
@@ -97,17 +113,23 @@
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	interval := joinReadInterval
-	if l.health.joined {
-		interval = readInterval
+	f.nextRead = now.Add(l.jitter(readInterval))
+	f.nextReadAlone = now.Add(l.jitter(joinReadInterval))
+	if err == nil && l.noReachableMember() && len(l.unreachedAddresses()) == 0 && now.Before(f.nextAppend) {
+		// Nobody else has joined either. Whoever joins later finds this node's record.
+		f.nextReadAlone = f.nextAppend.Add(l.jitter(joinReadInterval))
 	}
-	f.nextRead = now.Add(l.jitter(interval))
 	if err != nil {
 		l.stats.logFailed.Add(1)
 		return
 	}
 	l.health.lastLog = now
 	l.knownAddresses.expire(now)
+	if l.noReachableMember() {
+		for range min(joinFanout, len(l.unreachedAddresses())) {
+			l.goLocked(l.joinRound)
+		}
+	}
 	if l.isOnlyNode(now) {
 		l.noteRefreshed(now)
 	}
