configlog: a node that is no reader asks its peers before it reads the log

Change: in the last second before that read the node asks random peers, four times a second, how recently they knew the end. Replies to pulls carry the age.

--- a/internal/configlog/freshness.go
+++ b/internal/configlog/freshness.go
@@ -20,6 +20,11 @@
 	// readerCheckInterval is how often a node that is no reader checks whether it
 	// has become one.
 	readerCheckInterval = time.Second
+	// confirmLead is how long before a read of its own a node that is no reader starts
+	// to ask peers how recently they knew the end of the log, and confirmInterval the
+	// time between two such questions.
+	confirmLead     = time.Second
+	confirmInterval = 250 * time.Millisecond
 )
 
 // awaitReadDue waits until this node should read the log: at once if it is a reader or
@@ -32,7 +37,12 @@
 		if f.isReader() || !f.logHealthy() || left <= 0 {
 			return true
 		}
-		timer := time.NewTimer(min(left, readerCheckInterval))
+		wait := min(left, readerCheckInterval)
+		if left <= confirmLead {
+			f.askPeer(ctx)
+			wait = min(left, confirmInterval)
+		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -45,6 +55,26 @@
 	return false
 }
 
+// askPeer asks a random peer for its digest. Digests come with gossip as well, but by
+// chance none may confirm the end of the log for some time.
+func (f *Follower) askPeer(ctx context.Context) {
+	if f.options.ControlClient == nil {
+		return
+	}
+	addr := f.randomPeer()
+	if addr == "" {
+		return
+	}
+	asked := time.Now()
+	reply, err := f.callPull(ctx, addr, f.State())
+	if err != nil {
+		f.metrics.pullFailed()
+		return
+	}
+	f.OnDigest(addr, reply.GetDigest())
+	f.OnDigestReply(reply.GetDigest(), asked)
+}
+
 // staleAfter returns the staleness from which a node that is no reader reads the log
 // itself.
 func (f *Follower) staleAfter() time.Duration {
--- a/internal/configlog/rpc.go
+++ b/internal/configlog/rpc.go
@@ -36,6 +36,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	reply.Digest = f.folded.Digest()
+	reply.Digest.AtEndAgeMs = f.atEndAgeMs(time.Now())
 	if args.GetFrom() > f.folded.FoldedThrough {
 		if f.folded.OperatorVersion() > args.GetOperatorVersion() {
 			reply.Snapshot = f.folded.Snapshot()
