gate: an answer that changes nothing about the rate limit doesn't look at the queue

Each answer took the limiter's lock for a pass over the waiting requests, of use only when the limit changes.

--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -106,13 +106,16 @@
 func (l *limiter) recordAnswer(sentAt time.Time, notice *wire.ServerNotice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	rateBefore, limitedBefore := l.queue.Rate.PerSecond()
 	if notice != nil {
 		l.queue.Rate.Observe(time.Now(), sentAt, notice.RatePerS)
 	}
-	if l.unconfirmed {
-		l.unconfirmed = false
-		l.setLimitsLocked()
+	rate, limited := l.queue.Rate.PerSecond()
+	if !l.unconfirmed && rate == rateBefore && limited == limitedBefore {
+		return
 	}
+	l.unconfirmed = false
+	l.setLimitsLocked()
 	l.grantLocked()
 }
 
