gate: a server that breaks a connection and still accepts is checked again for its death

Cause: a process that ends may close its connections before its listener. The gate looked once, right after the broken connection, found the server alive (the log of a failing run: crashed false, unexpected EOF), and reported the crash only when the next request found the port closed.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -19,6 +19,10 @@
 	crashDialTimeout = 250 * time.Millisecond
 )
 
+// deathCheckDelays are the times between checks whether a server is dead that broke a
+// connection and seemed alive: a process that ends may accept connections a little longer.
+var deathCheckDelays = []time.Duration{50 * time.Millisecond, 200 * time.Millisecond}
+
 // brokenRequest is a request whose connection to the server broke.
 type brokenRequest struct {
 	fingerprint uint64
@@ -32,6 +36,8 @@
 	inFlight map[uint64]int
 	broken   []brokenRequest
 	reported bool
+	// answeredAt is when the server last completed an answer.
+	answeredAt time.Time
 }
 
 func (d *crashDetector) requestStarted(fingerprint uint64) {
@@ -91,15 +97,25 @@
 // reported.
 func (d *crashDetector) serverAnswered() {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.reported = false
-	d.mu.Unlock()
+	d.answeredAt = time.Now()
+}
+
+// hasAnsweredSince reports whether the server has completed an answer after a time.
+func (d *crashDetector) hasAnsweredSince(since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.answeredAt.After(since)
 }
 
 // handleBrokenConnection records a request whose connection to the server broke. It
 // reports whether the server is dead.
 func (g *Gate) handleBrokenConnection(ctx context.Context, server *backendServer, fingerprint uint64) bool {
-	server.crash.recordBroken(fingerprint, time.Now())
+	now := time.Now()
+	server.crash.recordBroken(fingerprint, now)
 	if !g.isDead(ctx, server) {
+		g.checkDeathLater(server, now)
 		return false
 	}
 	g.reportCrash(server)
@@ -107,6 +123,28 @@
 	return true
 }
 
+// checkDeathLater checks again whether a server is dead that broke a connection at
+// brokenAt, until it completes an answer.
+func (g *Gate) checkDeathLater(server *backendServer, brokenAt time.Time) {
+	if !server.checkingDeath.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer server.checkingDeath.Store(false)
+		for _, wait := range deathCheckDelays {
+			time.Sleep(wait)
+			if g.server.Load() != server || server.crash.hasAnsweredSince(brokenAt) {
+				return
+			}
+			if g.isDead(context.Background(), server) {
+				g.reportCrash(server)
+				g.reportDown(server)
+				return
+			}
+		}
+	}()
+}
+
 // reportDown tells the node that the backend server is dead, once for each
 // announcement.
 func (g *Gate) reportDown(server *backendServer) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -76,6 +76,8 @@
 	notices noticeTracker
 	// reportedDown: the node was told that the server is dead.
 	reportedDown atomic.Bool
+	// checkingDeath: a goroutine checks whether the server is dead.
+	checkingDeath atomic.Bool
 }
 
 // Gate controls access to one backend server. Safe for concurrent use.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -122,6 +122,31 @@
 	})
 }
 
+// A process that ends may close its connections before its listener.
+func TestCrashOfServerThatStillAccepts(t *testing.T) {
+	Convey("A server that breaks a connection and refuses new ones a moment later is reported as crashed", t, func() {
+		down := make(chan struct{}, 1)
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			time.AfterFunc(20*time.Millisecond, func() { server.Listener.Close() })
+			panic(http.ErrAbortHandler)
+		}))
+		defer server.Close()
+		table := quarantine.New(nil, nil)
+		g := New(Options{Instance: "i", Incarnation: 1, Quarantine: table, OnServerDown: func() { down <- struct{}{} }})
+		g.SetServer(&Server{Service: "s", Address: server.Listener.Addr().String(), Slots: 2, Connections: 3})
+		answer := g.Do(context.Background(), newTestCall("/"))
+		So(answer.Kind, ShouldEqual, pb.ErrorKind_ERROR_KIND_SERVER_FAILED)
+		So(answer.Crashed, ShouldBeFalse)
+		select {
+		case <-down:
+		case <-time.After(time.Second):
+			So("not reported within 1 s", ShouldBeEmpty)
+		}
+		So(g.counters.crashes.Load(), ShouldEqual, 1)
+	})
+}
+
 func TestCrash(t *testing.T) {
 	Convey("Given a backend server that dies with requests in flight", t, func() {
 		table := quarantine.New(nil, nil)
