--- a/internal/balance/offers.go
+++ b/internal/balance/offers.go
@@ -92,8 +92,14 @@
 	return p.shortlist(p.current.Load().remote, info, limit)
 }
 
+// untriedPosition is the position in a shortlist of an endpoint that this entry has not
+// sent anything yet. It is among those asked first, behind one that is known.
+const untriedPosition = 1
+
 // shortlist returns up to limit eligible endpoints in random order, those of the own
-// data centre first.
+// data centre first. One that this entry has not sent anything yet, such as a server that
+// has just joined, is moved up: otherwise idle servers nearby would keep it from being
+// asked, and it would add no capacity.
 func (p *pool) shortlist(endpoints []*endpointState, info PickInfo, limit int) []*Endpoint {
 	candidates := newCandidates(timeNow(), endpoints, info.Tried)
 	var ownDataCentre, otherDataCentres []*Endpoint
@@ -109,9 +115,30 @@
 	p.shuffle(ownDataCentre)
 	p.shuffle(otherDataCentres)
 	list := append(ownDataCentre, otherDataCentres...)
+	p.moveUpUntried(list)
 	return list[:min(limit, len(list))]
 }
 
+// moveUpUntried moves the first endpoint of list without a pick to untriedPosition,
+// unless it stands before that.
+func (p *pool) moveUpUntried(list []*Endpoint) {
+	for i, endpoint := range list {
+		if !p.isUntried(endpoint) {
+			continue
+		}
+		for ; i > untriedPosition; i-- {
+			list[i], list[i-1] = list[i-1], list[i]
+		}
+		return
+	}
+}
+
+// isUntried reports whether this entry has not picked the endpoint yet.
+func (p *pool) isUntried(endpoint *Endpoint) bool {
+	s := p.current.Load().byKey[endpointKey{endpoint.Instance, endpoint.Incarnation}]
+	return s != nil && s.counts.picks.Load() == 0
+}
+
 func (p *pool) shuffle(list []*Endpoint) {
 	for i := len(list) - 1; i > 0; i-- {
 		j := int(p.options.Rand() % uint64(i+1))
--- a/internal/balance/offers_test.go
+++ b/internal/balance/offers_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -167,3 +168,40 @@
 		})
 	})
 }
+
+// A server that joins gets requests, although idle servers of the own data centre would
+// answer as early.
+func TestJoinedServerGetsRequests(t *testing.T) {
+	const work, askedFirst = 100 * time.Millisecond, 2
+	Convey("Given an entry with two idle servers in its data centre", t, func() {
+		b, err := New(EarliestFinish, Options{Region: "north", DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 1)).Uint64})
+		So(err, ShouldBeNil)
+		p := b.(*pool)
+		near := []*Endpoint{endpointIn("a", "north"), {Instance: "a-2", Incarnation: 1, Region: "north", DataCentre: "a", Slots: 10}}
+		place := func() *Endpoint {
+			var offers []EndpointOffer
+			for _, endpoint := range p.Local(PickInfo{}, askedFirst) {
+				offers = append(offers, EndpointOffer{Endpoint: endpoint, ServiceTime: work, AtOnce: true})
+			}
+			chosen, err := p.Take(p.Best(offers, time.Second).Endpoint, PickInfo{})
+			So(err, ShouldBeNil)
+			p.Done(Result{Endpoint: chosen, Outcome: OutcomeSuccess, Latency: work})
+			return chosen
+		}
+		p.Update(near, &pb.Policy{})
+		for range 20 {
+			place()
+		}
+		Convey("one that joins in another data centre gets a request within the next 100, and no more than one in ten", func() {
+			joined := endpointIn("b", "north")
+			p.Update(append(near, joined), &pb.Policy{})
+			count := 0
+			for range 100 {
+				if place() == joined {
+					count++
+				}
+			}
+			So(count, ShouldBeBetweenOrEqual, 1, 10)
+		})
+	})
+}
