Offers: a route without a sample has an unknown service time, not the mean of other routes

Change: the offer leaves the service time out; entries assume the longest of the other offers, as for any unknown one.

--- a/internal/admission/servicetime.go
+++ b/internal/admission/servicetime.go
@@ -41,6 +41,12 @@
 	return mean + sampleWeight*(sample-mean)
 }
 
+// IsMeasured reports whether a request of the route has ended.
+func (s *ServiceTimes) IsMeasured(route string) bool {
+	_, known := s.byRoute[route]
+	return known
+}
+
 // Estimate returns the time that a request of the route takes at normal speed; the
 // mean over all routes for an unknown route, and zero while nothing is known.
 func (s *ServiceTimes) Estimate(route string) time.Duration {
--- a/internal/gate/offer.go
+++ b/internal/gate/offer.go
@@ -45,6 +45,9 @@
 	into.Refused = estimate.Refused
 	into.AtOnce = estimate.AtOnce
 	into.WaitUs = uint32(estimate.Wait.Microseconds())
-	into.WorkUs = uint32(estimate.ServiceTime.Microseconds())
+	if l.serviceTimes.IsMeasured(s.route) {
+		// The mean of other routes would mislead: it may be that of one cold request.
+		into.WorkUs = uint32(estimate.ServiceTime.Microseconds())
+	}
 	into.ErrorsPermille = uint32(l.failureRate * 1000)
 }
--- a/internal/gate/slowdown_test.go
+++ b/internal/gate/slowdown_test.go
@@ -88,6 +88,14 @@
 			question.Service = "another"
 			So(g.Offer(context.Background(), question).GetRefused(), ShouldBeTrue)
 		})
+		Convey("an offer for a route without a sample names no service time", func() {
+			server.slowness.Store(100)
+			time.Sleep(2 * maxReportAgeForOffer)
+			question := &pb.OfferQuestion{Service: "s", Route: "other", TargetUs: 1_000_000, DeadlineUs: 60_000_000}
+			So(g.Offer(context.Background(), question).GetWorkUs(), ShouldEqual, 0)
+			g.limiter.serviceTimes.Add("other", 20*time.Millisecond, 1)
+			So(g.Offer(context.Background(), question).GetWorkUs(), ShouldEqual, 20_000)
+		})
 		Convey("a server that doesn't answer a probe in time isn't probed for a while", func() {
 			g.server.Load().prober.client.Timeout = time.Nanosecond
 			time.Sleep(2 * maxReportAgeAtStart)
