once: a witness agrees to nothing for an epoch that the log shows as ended

Cause: after a fence the witness dropped the sealed registration, and took the next request of the resumed keeper, which hadn't read the fence yet, for a new one. It agreed to a higher limit, so the old and the new keeper both granted. Change: Extend looks at the log first, under the lock under which it is folded.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -47,8 +47,8 @@
 	// As 104, but with a connection reset: the caller's bytes arrived after the
 	// server's last read.
 	1020,
-	// Orders with a key ran twice when a node that was paused resumed after its shards
-	// had been claimed by others; not mended.
+	// Orders with a key ran twice when a fenced keeper resumed: its witness, which had
+	// dropped the registration, agreed to a higher limit.
 	5049,
 }
 
--- a/internal/once/fence.go
+++ b/internal/once/fence.go
@@ -101,8 +101,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id := range r.byID {
-		w := state.Witnessing(id.session)
-		if w.Epoch > id.epoch || (w.Epoch == id.epoch && w.Witness != self) {
+		if hasEnded(state, id, self) {
 			delete(r.byID, id)
 		}
 	}
@@ -118,10 +117,20 @@
 		return nil
 	}
 	id := registrationID{session: args.Session, epoch: args.Epoch}
-	reply.Accepted = r.m.registrations.extend(id, args.EndMs)
+	r.m.replica.view(func(state *shard.State) {
+		reply.Accepted = !hasEnded(state, id, r.m.session.ID) && r.m.registrations.extend(id, args.EndMs)
+	})
 	return nil
 }
 
+// hasEnded reports whether the log shows that witness is no longer, and never will be
+// again, the witness of the session in this epoch. The registration is dropped then, and
+// a session that doesn't know it yet must not get a new one.
+func hasEnded(state *shard.State, id registrationID, witness uint64) bool {
+	w := state.Witnessing(id.session)
+	return w.Epoch > id.epoch || (w.Epoch == id.epoch && w.Witness != witness)
+}
+
 // fenceLoop ends the intervals of the sessions of which this one is the witness
 // once their processes are absent or silent.
 func (m *Manager) fenceLoop(ctx context.Context) {
--- a/internal/once/witness_test.go
+++ b/internal/once/witness_test.go
@@ -136,3 +136,34 @@
 		t.Error("a sealed registration agreed to a higher limit")
 	}
 }
+
+// A keeper that was paused while it was fenced asks with the epoch that it knows.
+func TestFencedSessionGetsNoNewRegistration(t *testing.T) {
+	m := boundManager(t)
+	ctx := context.Background()
+	m.runContext.Store(&ctx)
+	const paused, pausedShard = 9, boundShard + 1
+	fold(m, &pb.KeeperRecord{Change: &pb.KeeperRecord_Takeover{Takeover: &pb.KeeperTakeover{
+		Session: &pb.KeeperSession{Id: paused},
+		Claims:  []*pb.KeeperClaim{{Shard: pausedShard, BeginMs: 1000}},
+		EndMs:   boundEnd,
+	}}})
+	fold(m, &pb.KeeperRecord{Change: &pb.KeeperRecord_Witness{Witness: &pb.KeeperWitness{
+		Session: paused, Epoch: 1, Witness: shard.SessionMessage(m.session), MadeMs: uint64(time.Now().UnixMilli()),
+	}}})
+	extend := func(end shard.Timestamp) bool {
+		reply := &pb.KeeperExtendReply{}
+		if err := (&RPC{m: m}).Extend(&pb.KeeperExtend{Session: paused, Epoch: 1, To: m.session.ID, EndMs: end}, reply); err != nil {
+			t.Fatal(err)
+		}
+		return reply.Accepted
+	}
+	if !extend(2000) {
+		t.Fatal("the witness refused the session that the log names")
+	}
+	fold(m, &pb.KeeperRecord{Change: &pb.KeeperRecord_Fence{Fence: &pb.KeeperFence{Session: paused, Epoch: 1, EndMs: 2000}}})
+	m.replica.view(func(state *shard.State) { m.registrations.prune(state, m.session.ID) })
+	if extend(3000) {
+		t.Error("the witness agreed to a higher limit after the log showed the fence")
+	}
+}
