--- /dev/null
+++ b/review/_standin/cases.go
@@ -0,0 +1,321 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// start publishes the routes as version 1 and starts a machine for each of the services,
+// which may repeat.
+func (e *env) start(routes map[string]table, services ...string) error {
+	e.publish(1, routes, services...)
+	for _, service := range services {
+		if err := e.addMachine(service); err != nil {
+			return err
+		}
+	}
+	return e.awaitReady()
+}
+
+// expectServed sends a request from every machine and returns an error unless all are
+// served: the deployment works before the disruption.
+func (e *env) expectServed(q request) error {
+	for _, m := range e.machines {
+		if r := e.send(m, q); r.status != http.StatusOK || r.signature == "" {
+			return fmt.Errorf("before the disruption, %s %s got status %d", q.method, q.target, r.status)
+		}
+	}
+	return nil
+}
+
+// executionsOf returns the runs of a request at all servers.
+func (e *env) executionsOf(id string) []execution {
+	var found []execution
+	for _, m := range e.machines {
+		for _, run := range m.server.runs() {
+			if run.id == id {
+				found = append(found, run)
+			}
+		}
+	}
+	return found
+}
+
+// runsAt counts the runs of a request at one server.
+func (e *env) runsAt(s *server, id string) int {
+	count := 0
+	for _, run := range e.executionsOf(id) {
+		if run.server == s.name() {
+			count++
+		}
+	}
+	return count
+}
+
+// droppedRoute: the operator drops the route of orders, whose host has the name of the
+// service. With and without that, one of its servers loses every third answer.
+func droppedRoute(e *env) (string, error) {
+	const orders = 90
+	routes := map[string]table{
+		"r-catalogue": route("parts.example", "/catalogue/", "idempotent", "catalogue", "1000ms"),
+		"r-orders":    route("orders", "/orders/", "non_idempotent", "orders", "1000ms"),
+	}
+	if err := e.start(routes, "orders", "catalogue", "orders", "orders"); err != nil {
+		return "", err
+	}
+	order := request{method: http.MethodPut, host: "orders", target: "/orders/1"}
+	if err := e.expectServed(order); err != nil {
+		return "", err
+	}
+	e.machines[0].server.setAnswer(loseEveryThird(e.machines[0].server))
+	if e.trouble {
+		delete(routes, "r-orders")
+	}
+	routes["r-catalogue"]["timeout"] = "900ms"
+	e.publish(2, routes, "catalogue", "orders")
+	time.Sleep(configApply + time.Second)
+	ran, twice, refused := 0, 0, 0
+	for i := range orders {
+		r := e.send(e.machines[i%len(e.machines)], order)
+		runs := len(e.executionsOf(r.id))
+		if runs > 0 {
+			ran++
+		}
+		if runs > 1 {
+			twice++
+			e.logf("order %s ran %d times", r.id, runs)
+		}
+		if r.status == http.StatusNotFound {
+			refused++
+		}
+	}
+	e.logf("of %d orders, %d ran, %d of these more than once, and %d got 404", orders, ran, twice, refused)
+	if twice > 0 {
+		return fmt.Sprintf("TWICE: %d of %d orders ran more than once; no route allows them, and %d got 404", twice, orders, refused), nil
+	}
+	return "", nil
+}
+
+// loseEveryThird returns an answer that is lost for every third request.
+func loseEveryThird(s *server) http.HandlerFunc {
+	var mu sync.Mutex
+	count := 0
+	return func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		count++
+		lost := count%3 == 0
+		mu.Unlock()
+		if lost {
+			s.env.logf("server %s ran %s, and its answer is lost", s.name(), r.Header.Get(headerRequestID))
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintln(w, "done")
+	}
+}
+
+// splitRoute: the operator splits a route, while consumers ask for the page of a part whose
+// name has a slash, which their path has in escaped form.
+func splitRoute(e *env) (string, error) {
+	const requests = 40
+	routes := map[string]table{
+		"r-parts": route("parts.example", "/parts/", "idempotent", "catalogue", "1000ms"),
+	}
+	if err := e.start(routes, "orders", "catalogue", "orders", "catalogue"); err != nil {
+		return "", err
+	}
+	part := request{method: http.MethodGet, host: "parts.example", target: "/parts/orders%2F17"}
+	if err := e.expectServed(part); err != nil {
+		return "", err
+	}
+	if e.trouble {
+		routes["r-orders"] = route("parts.example", "/parts/orders/", "non_idempotent", "orders", "1000ms")
+	}
+	e.publish(2, routes, "catalogue", "orders")
+	time.Sleep(configApply + time.Second)
+	wrong := 0
+	for i := range requests {
+		r := e.send(e.machines[i%len(e.machines)], part)
+		for _, run := range e.executionsOf(r.id) {
+			if run.service != "catalogue" {
+				wrong++
+			}
+		}
+	}
+	if wrong > 0 {
+		return fmt.Sprintf("ROUTE: %d of %d requests for %s ran at the service orders; the longest prefix that begins this path is /parts/ in every version, and its service is catalogue", wrong, requests, part.target), nil
+	}
+	return "", nil
+}
+
+// foreignPing: while a server drains, a ping of another writer arrives in which fields are
+// missing.
+func foreignPing(e *env) (string, error) {
+	routes := map[string]table{
+		"r-orders": route("shop.example", "/orders/", "non_idempotent", "orders", "1000ms"),
+	}
+	if err := e.start(routes, "orders", "orders", "orders"); err != nil {
+		return "", err
+	}
+	order := request{method: http.MethodPost, host: "shop.example", target: "/orders/1"}
+	if err := e.expectServed(order); err != nil {
+		return "", err
+	}
+	leaving := e.machines[0]
+	leaving.server.setState("draining")
+	if !leaving.server.ping() {
+		return "", fmt.Errorf("the server got no ack of its draining")
+	}
+	acked := time.Now()
+	e.logf("%s acknowledged that its server is draining", leaving.name)
+	time.Sleep(heartbeat)
+	if e.trouble {
+		// Without born, version, zone and warmup-left.
+		e.sendPing(leaving, leaving.server.name(), table{
+			"address": address(leaving.ip, portServer),
+			"info":    table{"service": leaving.service, "slots": slots},
+			"status":  table{"state": "ready", "seq": 1000},
+		})
+	}
+	late := e.countLate(leaving.server, order, e.machines, acked, 10*time.Second)
+	if late > 0 {
+		return fmt.Sprintf("DRAIN: %d requests sent later than drain after the ack ran at the draining server", late), nil
+	}
+	return "", nil
+}
+
+// countLate sends requests from the machines in turn until some time after the ack of a
+// server's leaving. It returns how many of those sent later than the drain bound ran there.
+func (e *env) countLate(s *server, q request, from []*machine, acked time.Time, until time.Duration) int {
+	late := 0
+	for i := 0; time.Since(acked) < until; i++ {
+		r := e.send(from[i%len(from)], q)
+		if r.sentAt.Sub(acked) > drainBound {
+			late += e.runsAt(s, r.id)
+		}
+	}
+	return late
+}
+
+// poisonBody is the body of the request that crashes servers.
+const poisonBody = "a drawing that crashes the server"
+
+// poison: an upload crashes each server that begins to run it and comes again, beside sound
+// uploads to the same path. All are sent in chunks.
+func poison(e *env) (string, error) {
+	const length = 60 * time.Second
+	routes := map[string]table{
+		"r-drawings": route("drawings.example", "/drawings/", "upload", "drawings", "1200ms"),
+	}
+	if err := e.start(routes, "drawings", "drawings", "drawings", "drawings", "drawings", "drawings"); err != nil {
+		return "", err
+	}
+	upload := request{method: http.MethodPost, host: "drawings.example", target: "/drawings/new", chunkedBody: "a sound drawing"}
+	if err := e.expectServed(upload); err != nil {
+		return "", err
+	}
+	var mu sync.Mutex
+	var crashes []time.Time
+	lost := 0
+	for _, m := range e.machines {
+		m.server.setCrash(func(body string) bool {
+			if body != poisonBody {
+				return false
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			crashes = append(crashes, time.Now())
+			return true
+		})
+	}
+	end := time.Now().Add(length)
+	var consumers sync.WaitGroup
+	for range len(e.machines) {
+		consumers.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				if r := e.send(e.machines[i%len(e.machines)], upload); r.status == http.StatusBadGateway {
+					mu.Lock()
+					lost++
+					mu.Unlock()
+				}
+				time.Sleep(60 * time.Millisecond)
+			}
+		})
+	}
+	for i := 0; e.trouble && time.Now().Before(end); i++ {
+		bad := upload
+		bad.chunkedBody = poisonBody
+		e.send(e.machines[i%len(e.machines)], bad)
+		time.Sleep(2 * time.Second)
+	}
+	consumers.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	later := 0
+	for _, at := range crashes {
+		if len(crashes) >= 3 && at.Sub(crashes[2]) > touchWindow {
+			later++
+		}
+	}
+	e.logf("%d crashes; %d sound uploads that servers had begun were lost with them", len(crashes), lost)
+	if later > 3 {
+		return fmt.Sprintf("BUDGET: the request reached servers in %d retries later than the stable window after it had crashed the third; %d crashes, %d sound uploads lost with them", later, len(crashes), lost), nil
+	}
+	return "", nil
+}
+
+// endlessBody: servers send bytes without end in the body of an answer.
+func endlessBody(e *env) (string, error) {
+	const (
+		timeout  = time.Second
+		requests = 12
+	)
+	routes := map[string]table{
+		"r-catalogue": route("parts.example", "/catalogue/", "idempotent", "catalogue", "1000ms"),
+	}
+	if err := e.start(routes, "catalogue", "catalogue"); err != nil {
+		return "", err
+	}
+	page := request{method: http.MethodGet, host: "parts.example", target: "/catalogue/1", budget: 5 * time.Second}
+	if err := e.expectServed(page); err != nil {
+		return "", err
+	}
+	if e.trouble {
+		for _, m := range e.machines {
+			m.server.setAnswer(writeEndlessly)
+		}
+	}
+	results := make([]result, requests)
+	var consumers sync.WaitGroup
+	for i := range requests {
+		consumers.Go(func() { results[i] = e.send(e.machines[i%len(e.machines)], page) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	consumers.Wait()
+	longer, open := 0, 0
+	for _, r := range results {
+		if r.took > timeout {
+			longer++
+		}
+		if r.took > timeout+500*time.Millisecond {
+			open++
+		}
+	}
+	if open >= 8 && 4*open > longer {
+		return fmt.Sprintf("CONFIG: %d of %d requests that lasted longer than their route's timeout of %s had no final answer 0.5 s after it; they ended when the consumer left", open, longer, timeout), nil
+	}
+	return "", nil
+}
+
+// writeEndlessly writes bytes until the connection ends.
+func writeEndlessly(w http.ResponseWriter, r *http.Request) {
+	for r.Context().Err() == nil {
+		if _, err := w.Write([]byte(strings.Repeat("x", 100))); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush() // fails only if the connection ended
+		time.Sleep(20 * time.Millisecond)
+	}
+}
