--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -166,9 +166,9 @@
 	return "", nil
 }
 
-// foreignPing: while a server drains, a ping of another writer arrives in which fields are
-// missing.
-func foreignPing(e *env) (string, error) {
+// lateFirstPing: a server boots, and its first ping is late. It deregisters before that has
+// arrived, and serves on for some seconds.
+func lateFirstPing(e *env) (string, error) {
 	routes := map[string]table{
 		"r-orders": route("shop.example", "/orders/", "non_idempotent", "orders", "1000ms"),
 	}
@@ -179,40 +179,53 @@
 	if err := e.expectServed(order); err != nil {
 		return "", err
 	}
-	leaving := e.machines[0]
-	leaving.server.setState("draining")
-	if !leaving.server.ping() {
-		return "", fmt.Errorf("the server got no ack of its draining")
+	leaving := e.machines[0].server
+	leaving.stopBeats()
+	leaving.crash()
+	first := leaving.nextPing()
+	if !e.trouble {
+		e.sendPing(leaving.machine, leaving.name(), first)
+	}
+	time.Sleep(time.Second)
+	if !leaving.deregister() {
+		return "", fmt.Errorf("the server got no ack of its DELETE")
 	}
 	acked := time.Now()
-	e.logf("%s acknowledged that its server is draining", leaving.name)
-	time.Sleep(heartbeat)
+	e.logf("%s acknowledged that %s is gone", leaving.machine.name, leaving.name())
+	time.Sleep(2 * time.Second)
 	if e.trouble {
-		// Without born, version, zone and warmup-left.
-		e.sendPing(leaving, leaving.server.name(), table{
-			"address": address(leaving.ip, portServer),
-			"info":    table{"service": leaving.service, "slots": slots},
-			"status":  table{"state": "ready", "seq": 1000},
-		})
+		e.sendPing(leaving.machine, leaving.name(), first)
 	}
-	late := e.countLate(leaving.server, order, e.machines, acked, 10*time.Second)
+	late := e.countLate(leaving, order, e.machines, acked, 10*time.Second)
 	if late > 0 {
-		return fmt.Sprintf("DRAIN: %d requests sent later than drain after the ack ran at the draining server", late), nil
+		return fmt.Sprintf("DRAIN: %d requests sent later than drain after the ack ran at the server that is gone", late), nil
 	}
 	return "", nil
 }
 
-// countLate sends requests from the machines in turn until some time after the ack of a
-// server's leaving. It returns how many of those sent later than the drain bound ran there.
+// countLate sends requests from several consumers on the machines until some time after the
+// ack of a server's leaving. It returns how many of those sent later than the drain bound
+// ran there.
 func (e *env) countLate(s *server, q request, from []*machine, acked time.Time, until time.Duration) int {
-	late := 0
-	for i := 0; time.Since(acked) < until; i++ {
-		r := e.send(from[i%len(from)], q)
-		if r.sentAt.Sub(acked) > drainBound {
-			late += e.runsAt(s, r.id)
-		}
+	const consumers = 4
+	late := make([]int, consumers)
+	var consuming sync.WaitGroup
+	for i := range consumers {
+		consuming.Go(func() {
+			for j := i; time.Since(acked) < until; j++ {
+				r := e.send(from[j%len(from)], q)
+				if r.sentAt.Sub(acked) > drainBound {
+					late[i] += e.runsAt(s, r.id)
+				}
+			}
+		})
+	}
+	consuming.Wait()
+	total := 0
+	for _, count := range late {
+		total += count
 	}
-	return late
+	return total
 }
 
 // poisonBody is the body of the request that crashes servers.
--- a/review/_standin/consumer.go
+++ b/review/_standin/consumer.go
@@ -36,11 +36,13 @@
 
 var lastID atomic.Int64
 
+func newID() string { return fmt.Sprintf("%016x", lastID.Add(1)) }
+
 // send sends a request to a machine's node, on a new connection, and waits for the end of
 // its answer for the request's time budget.
 func (e *env) send(m *machine, q request) result {
 	if q.id == "" {
-		q.id = fmt.Sprintf("%016x", lastID.Add(1))
+		q.id = newID()
 	}
 	if q.budget == 0 {
 		q.budget = 2 * time.Second
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -18,14 +18,18 @@
 
 // cases are the cases by name. Each returns what broke the rule; empty: the rule held.
 var cases = map[string]func(*env) (broken string, err error){
-	"dropped-route": droppedRoute,
-	"split-route":   splitRoute,
-	"foreign-ping":  foreignPing,
-	"poison":        poison,
-	"endless-body":  endlessBody,
-	"late-ping":     latePing,
-	"silent-store":  silentStore,
-	"long-id":       longID,
+	"dropped-route":   droppedRoute,
+	"split-route":     splitRoute,
+	"late-first-ping": lateFirstPing,
+	"poison":          poison,
+	"endless-body":    endlessBody,
+	// Without a folder of their own.
+	"broken-pipeline": brokenPipeline,
+	"denied-uploads":  deniedUploads,
+	"foreign-ping":    foreignPing,
+	"late-ping":       latePing,
+	"long-id":         longID,
+	"silent-store":    silentStore,
 }
 
 func main() {
--- a/review/_standin/more.go
+++ b/review/_standin/more.go
@@ -8,6 +8,42 @@
 
 // The cases of this file have no folder of their own; the report names them.
 
+// foreignPing: while a server drains, a ping of another writer arrives in which fields are
+// missing.
+func foreignPing(e *env) (string, error) {
+	routes := map[string]table{
+		"r-orders": route("shop.example", "/orders/", "non_idempotent", "orders", "1000ms"),
+	}
+	if err := e.start(routes, "orders", "orders", "orders"); err != nil {
+		return "", err
+	}
+	order := request{method: http.MethodPost, host: "shop.example", target: "/orders/1"}
+	if err := e.expectServed(order); err != nil {
+		return "", err
+	}
+	leaving := e.machines[0]
+	leaving.server.setState("draining")
+	if !leaving.server.ping() {
+		return "", fmt.Errorf("the server got no ack of its draining")
+	}
+	acked := time.Now()
+	e.logf("%s acknowledged that its server is draining", leaving.name)
+	time.Sleep(heartbeat)
+	if e.trouble {
+		// Without born, version, zone and warmup-left.
+		e.sendPing(leaving, leaving.server.name(), table{
+			"address": address(leaving.ip, portServer),
+			"info":    table{"service": leaving.service, "slots": slots},
+			"status":  table{"state": "ready", "seq": 1000},
+		})
+	}
+	late := e.countLate(leaving.server, order, e.machines, acked, 10*time.Second)
+	if late > 0 {
+		return fmt.Sprintf("DRAIN: %d requests sent later than drain after the ack ran at the draining server", late), nil
+	}
+	return "", nil
+}
+
 // latePing: a node is killed and started again after its server has deregistered, and a
 // ping that the server sent before arrives late.
 func latePing(e *env) (string, error) {
@@ -124,3 +160,41 @@
 	}
 	return "", nil
 }
+
+// deniedUploads: an upload crashes the two servers that it reaches; then sound uploads to
+// the same path come. All are sent in chunks.
+func deniedUploads(e *env) (string, error) {
+	routes := map[string]table{
+		"r-drawings": route("drawings.example", "/drawings/", "upload", "drawings", "1200ms"),
+	}
+	if err := e.start(routes, "drawings", "drawings", "drawings", "drawings"); err != nil {
+		return "", err
+	}
+	upload := request{method: http.MethodPost, host: "drawings.example", target: "/drawings/new", chunkedBody: "a sound drawing"}
+	if err := e.expectServed(upload); err != nil {
+		return "", err
+	}
+	for _, m := range e.machines {
+		m.server.setCrash(func(body string) bool { return body == poisonBody })
+	}
+	if e.trouble {
+		bad := upload
+		bad.chunkedBody = poisonBody
+		for i := range 3 {
+			e.send(e.machines[i], bad)
+			time.Sleep(time.Second)
+		}
+	}
+	time.Sleep(downTime + 2*heartbeat)
+	const requests = 100
+	denied := 0
+	for i := range requests {
+		if r := e.send(e.machines[i%len(e.machines)], upload); r.status/100 == 4 {
+			denied++
+		}
+	}
+	if denied > 5+requests/500 {
+		return fmt.Sprintf("DENIED: %d of %d sound uploads got a 4xx of the node's own", denied, requests), nil
+	}
+	return "", nil
+}
