review: popular-page, a further finding (DENIED)

Cause: equal requests share a fingerprint, so a page that is in flight at two servers that crash is quarantined like a request that crashes them.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -29,6 +29,7 @@
 	"foreign-ping":    foreignPing,
 	"late-ping":       latePing,
 	"long-id":         longID,
+	"popular-page":    popularPage,
 	"silent-store":    silentStore,
 }
 
--- a/review/_standin/more.go
+++ b/review/_standin/more.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -198,3 +199,59 @@
 	}
 	return "", nil
 }
+
+// popularPage: consumers read one page often, and all servers of its service crash at the
+// same moment, once.
+func popularPage(e *env) (string, error) {
+	const consumers = 12
+	routes := map[string]table{
+		"r-catalogue": route("parts.example", "/catalogue/", "idempotent", "catalogue", "1000ms"),
+	}
+	if err := e.start(routes, "catalogue", "catalogue", "catalogue", "catalogue"); err != nil {
+		return "", err
+	}
+	page := request{method: http.MethodGet, host: "parts.example", target: "/catalogue/popular", budget: time.Second}
+	if err := e.expectServed(page); err != nil {
+		return "", err
+	}
+	for _, m := range e.machines {
+		m.server.setAnswer(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(100 * time.Millisecond)
+			fmt.Fprintln(w, "the page")
+		})
+	}
+	crash := time.Now().Add(2 * time.Second)
+	end := crash.Add(20 * time.Second)
+	var mu sync.Mutex
+	sent, denied, served := 0, 0, 0
+	var consuming sync.WaitGroup
+	for i := range consumers {
+		consuming.Go(func() {
+			for j := i; time.Now().Before(end); j++ {
+				r := e.send(e.machines[j%len(e.machines)], page)
+				mu.Lock()
+				sent++
+				switch {
+				case r.status/100 == 4 && r.signature == "":
+					denied++
+				case r.status == http.StatusOK && r.sentAt.Sub(crash) > downTime:
+					served++
+				}
+				mu.Unlock()
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(time.Until(crash))
+	if e.trouble {
+		for _, m := range e.machines {
+			consuming.Go(m.server.crash)
+		}
+	}
+	consuming.Wait()
+	e.logf("%d requests, %d denied; %d served after the servers were back", sent, denied, served)
+	if denied > 5+sent/500 {
+		return fmt.Sprintf("DENIED: %d of %d requests got a 4xx of the node's own; %d were served in the 17 s after the servers were back", denied, sent, served), nil
+	}
+	return "", nil
+}
