--- a/review/_standin/env.go
+++ b/review/_standin/env.go
@@ -58,7 +58,9 @@
 	store        *platformtest.Store
 	// storeLink is the network between the nodes and the store.
 	storeLink *link
-	machines  []*machine
+	// maxHeaderBytes is a limit of the configurations that the operator publishes.
+	maxHeaderBytes int
+	machines       []*machine
 
 	recordMu sync.Mutex
 	closers  []func()
@@ -85,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &env{trouble: trouble, started: time.Now(), record: record, temp: temp, store: platformtest.NewStore()}
+	e := &env{trouble: trouble, started: time.Now(), record: record, temp: temp, store: platformtest.NewStore(), maxHeaderBytes: 16 << 10}
 	if e.subnet, err = freeSubnet(); err != nil {
 		return nil, err
 	}
@@ -257,7 +259,7 @@
 	}
 	// A table always marshals.
 	body, _ := json.Marshal(table{"version": version, "routes": routes, "services": described, "limits": table{
-		"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout": "3000ms", "idle-timeout": "15000ms"}})
+		"max-header-bytes": e.maxHeaderBytes, "max-body-bytes": 67108864, "header-timeout": "3000ms", "idle-timeout": "15000ms"}})
 	e.store.Append("keyed.op", "config", body)
 	e.logf("operator: the store acknowledged version %d: %s", version, body)
 }
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -32,6 +32,7 @@
 	"long-id":         longID,
 	"popular-page":    popularPage,
 	"silent-store":    silentStore,
+	"wide-limits":     wideLimits,
 }
 
 func main() {
--- a/review/_standin/more.go
+++ b/review/_standin/more.go
@@ -310,3 +310,31 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// wideLimits: the operator adds a route, and lets consumers send heads of 128 KiB.
+func wideLimits(e *env) (string, error) {
+	routes := map[string]table{
+		"r-catalogue": route("parts.example", "/catalogue/", "idempotent", "catalogue", "1000ms"),
+	}
+	if err := e.start(routes, "catalogue", "catalogue"); err != nil {
+		return "", err
+	}
+	routes["r-archive"] = route("parts.example", "/archive/", "idempotent", "catalogue", "1000ms")
+	if e.trouble {
+		e.maxHeaderBytes = 128 << 10
+	}
+	e.publish(2, routes, "catalogue")
+	time.Sleep(configApply + time.Second)
+	const requests = 40
+	refused := 0
+	for i := range requests {
+		r := e.send(e.machines[i%len(e.machines)], request{method: http.MethodGet, host: "parts.example", target: "/archive/1"})
+		if r.status == http.StatusNotFound {
+			refused++
+		}
+	}
+	if refused > 0 {
+		return fmt.Sprintf("CONFIG: %d of %d requests on the new route, sent later than config-apply after the ack, got 404", refused, requests), nil
+	}
+	return "", nil
+}
