entry: with request routes only, a request that matches none gets 404

Cause: when no request route matched, Routes.find went on to the product's own addressing by service name, host and /svc/, which no configuration of the platform names. Its default route takes PUT and DELETE for idempotent.

--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -42,7 +42,7 @@
 	}
 	found, ok := routes.find(x.r)
 	if !ok {
-		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_UNKNOWN_SERVICE, "neither host nor path names a service")
+		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_UNKNOWN_SERVICE, "no route or service matches the host and path")
 	}
 	x.service, x.route = found.service, found.route
 	x.service.state.budget.RecordRequest()
--- a/internal/entry/request_routes_test.go
+++ b/internal/entry/request_routes_test.go
@@ -83,3 +83,36 @@
 		})
 	})
 }
+
+// Guards against orders of a removed route that ran, and ran twice after a lost answer, at
+// the service whose name was the route's host (TWICE).
+func TestRemovedRouteSelectsNoService(t *testing.T) {
+	Convey("Given a configuration whose request routes are the only ones, without a route for orders", t, func() {
+		first, second := &countingServer{answer: abort}, &countingServer{answer: abort}
+		c := newCluster(nil, first, second)
+		defer c.close()
+		config := routesConfig()
+		config.RequestRoutesOnly = true
+		config.Services[0].Hosts = []string{"shop.example"}
+		config.RequestRoutes = config.RequestRoutes[:1]
+		c.entry.SetRoutes(entry.NewRoutes(config, "p"))
+		for _, target := range []struct{ name, host, path string }{
+			{"the service's name as the host", "orders", "/17"},
+			{"a host of the service", "shop.example", "/17"},
+			{"a path that names the service", "b.example", "/svc/orders/17"},
+			{"a path that names the service on a host with routes", "a.example", "/svc/orders/17"},
+		} {
+			Convey(target.name+" gets 404 and the request doesn't run", func() {
+				for _, method := range []string{http.MethodPut, http.MethodDelete, http.MethodPost, http.MethodGet} {
+					req, _ := http.NewRequest(method, c.url+target.path, nil)
+					req.Host = target.host
+					resp, err := http.DefaultClient.Do(req)
+					So(err, ShouldBeNil)
+					resp.Body.Close()
+					So(resp.StatusCode, ShouldEqual, http.StatusNotFound)
+				}
+				So(first.runs.Load()+second.runs.Load(), ShouldEqual, 0)
+			})
+		}
+	})
+}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -23,8 +23,11 @@
 	servicesByHost map[string]*service
 	// requestRoutesByHost holds each host's request routes, longest prefix first.
 	requestRoutesByHost map[string][]*requestRoute
-	maxDepth            int
-	limits              callerLimits
+	// requestRoutesOnly reports whether a request that matches no request route has no
+	// service.
+	requestRoutesOnly bool
+	maxDepth          int
+	limits            callerLimits
 }
 
 // match is the service and route that a request was matched to.
@@ -83,6 +86,8 @@
 		services:       make(map[string]*service),
 		servicesByHost: make(map[string]*service),
 		maxDepth:       int(config.GetMaxCallDepth()),
+
+		requestRoutesOnly: config.GetRequestRoutesOnly(),
 	}
 	if routes.maxDepth == 0 {
 		routes.maxDepth = DefaultMaxCallDepth
@@ -208,6 +213,9 @@
 		m.service, m.route = found.nextService(), &found.route
 		return m, true
 	}
+	if routes.requestRoutesOnly {
+		return m, false
+	}
 	rest, ok := strings.CutPrefix(m.uri, servicePrefix)
 	if ok {
 		name, _, _ := strings.Cut(rest, "?")
