announce: a statement without a start time can't change the order of statements

Cause: the adapter accepted heartbeats that lack fields which every server sends, and the receiver took an announcement without a start time for the latest one, but kept the start time of the server before it. Statements of the real server, with that start time and another id, counted as stale from then on.

--- a/internal/announce/statement.go
+++ b/internal/announce/statement.go
@@ -16,8 +16,8 @@
 	// ID identifies this start of the server. If a later start has the same ID, only
 	// StartedUnixMs tells them apart.
 	ID string
-	// StartedUnixMs is the start time by the server's own clock, in Unix milliseconds;
-	// zero if unknown.
+	// StartedUnixMs is the start time by the server's own clock, in Unix milliseconds.
+	// Zero means unknown; an announcement without it is invalid.
 	StartedUnixMs int64
 	// Sequence increases with each statement since the server's start; zero if the
 	// statement has no number.
@@ -39,7 +39,7 @@
 	// latest one, or it reports as gone a server other than the latest.
 	VerdictStale
 	// VerdictInvalid means that the statement was ignored because its announcement
-	// is invalid.
+	// is invalid or can't be ordered.
 	VerdictInvalid
 )
 
@@ -58,40 +58,34 @@
 	return s.ID == p.id && (s.StartedUnixMs == 0 || s.StartedUnixMs == p.startedUnixMs)
 }
 
-// precedes reports whether the position is before that of s. If the start times
-// of two servers are unknown, the one whose statement is received last counts as the
-// later.
+// precedes reports whether the position is before that of s.
 func (p position) precedes(s Statement) bool {
-	if order := cmp.Compare(s.StartedUnixMs, p.startedUnixMs); s.StartedUnixMs != 0 && order != 0 {
-		return order > 0
+	if p.isSameStart(s) {
+		return !p.gone && (s.Gone || s.Sequence > p.sequence)
 	}
-	if s.ID != p.id {
-		return s.StartedUnixMs == 0
-	}
-	if p.gone {
-		return false
-	}
-	return s.Gone || s.Sequence > p.sequence
+	return s.StartedUnixMs > p.startedUnixMs
 }
 
 // HandleStatement handles a statement of a backend server that numbers its statements.
-// One that is invalid or not later than the latest has no effect.
+// One that is invalid or not later than the latest has no effect. Once the latest server
+// has been silent for Lifetime, a server that started earlier replaces it.
 func (r *Receiver) HandleStatement(now time.Time, s Statement) Verdict {
-	if s.Server != nil && validate(s.Server) != "" {
+	if s.Server != nil && (validate(s.Server) != "" || s.StartedUnixMs <= 0) {
 		return VerdictInvalid
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s.Gone && s.ID != r.position.id || !r.position.precedes(s) {
+	if !r.isLatest(now, s) {
 		return VerdictStale
 	}
-	sequence := s.Sequence
-	if s.Gone && sequence == 0 {
-		sequence = r.position.sequence
-	}
-	startedUnixMs := cmp.Or(s.StartedUnixMs, r.position.startedUnixMs)
 	saidLeaving := r.position.leaving && r.position.isSameStart(s)
-	r.position = position{id: s.ID, startedUnixMs: startedUnixMs, sequence: sequence, gone: s.Gone, leaving: saidLeaving}
+	r.position = position{
+		id:            s.ID,
+		startedUnixMs: cmp.Or(s.StartedUnixMs, r.position.startedUnixMs),
+		sequence:      max(s.Sequence, r.sequenceOf(s)),
+		gone:          s.Gone,
+		leaving:       saidLeaving,
+	}
 	r.lastHeard = now
 	next := Change{Server: s.Server, Leaving: s.Leaving || s.Gone || saidLeaving}
 	if s.Gone {
@@ -104,6 +98,25 @@
 	return VerdictAccepted
 }
 
+// isLatest reports whether s comes from the server that the node believes in and is its
+// latest statement, or comes from one that takes its place.
+func (r *Receiver) isLatest(now time.Time, s Statement) bool {
+	if r.position.precedes(s) {
+		return !s.Gone || r.position.isSameStart(s)
+	}
+	isSilent := now.Sub(r.lastHeard) >= Lifetime
+	return isSilent && !s.Gone && !r.position.isSameStart(s)
+}
+
+// sequenceOf returns the highest sequence number so far of the start that s belongs to;
+// zero if it is another than the latest.
+func (r *Receiver) sequenceOf(s Statement) uint64 {
+	if !r.position.isSameStart(s) {
+		return 0
+	}
+	return r.position.sequence
+}
+
 // equivalent reports whether two changes describe the same state. Values that change
 // by themselves, such as the remaining warm-up time, are not compared.
 func (c Change) equivalent(other Change) bool {
--- a/internal/announce/statement_test.go
+++ b/internal/announce/statement_test.go
@@ -76,3 +76,41 @@
 		})
 	})
 }
+
+// Guards against an outage of a sound server after a single statement of another writer
+// that names no start time (RECOVER).
+func TestStatementsOfAnotherWriter(t *testing.T) {
+	start := time.Unix(1000, 0)
+	Convey("Given a server that repeats its statements", t, func() {
+		var last Change
+		r := NewReceiver(func(c Change) { last = c })
+		So(r.HandleStatement(start, newStatement("a", 100, 2)), ShouldEqual, VerdictAccepted)
+
+		Convey("a statement without a start time is invalid and doesn't affect the order", func() {
+			for _, id := range []string{"foreign", "a"} {
+				So(r.HandleStatement(start, newStatement(id, 0, 9)), ShouldEqual, VerdictInvalid)
+			}
+			So(last.Server.GetServerId(), ShouldEqual, "a")
+			So(r.HandleStatement(start, newStatement("a", 100, 3)), ShouldEqual, VerdictAccepted)
+		})
+		Convey("it doesn't put a leaving server in use again", func() {
+			leaving := newStatement("a", 100, 3)
+			leaving.Leaving = true
+			So(r.HandleStatement(start, leaving), ShouldEqual, VerdictAccepted)
+			So(r.HandleStatement(start, newStatement("a", 0, 9)), ShouldEqual, VerdictInvalid)
+			So(last.Leaving, ShouldBeTrue)
+		})
+		Convey("one with a wrong start time holds no longer than it is repeated", func() {
+			So(r.HandleStatement(start, newStatement("foreign", start.UnixMilli()+1000, 1)), ShouldEqual, VerdictAccepted)
+			So(r.HandleStatement(start.Add(Lifetime-1), newStatement("a", 100, 3)), ShouldEqual, VerdictStale)
+			So(r.HandleStatement(start.Add(Lifetime), newStatement("a", 100, 4)), ShouldEqual, VerdictAccepted)
+			So(last.Server.GetServerId(), ShouldEqual, "a")
+			So(r.HandleStatement(start.Add(Lifetime), newStatement("a", 100, 4)), ShouldEqual, VerdictStale)
+		})
+		Convey("a deregistration of another server that names no start time has no effect", func() {
+			r.HandleStatement(start, Statement{ID: "foreign", Gone: true})
+			So(r.HandleStatement(start, newStatement("a", 100, 3)), ShouldEqual, VerdictAccepted)
+			So(last.Leaving, ShouldBeFalse)
+		})
+	})
+}
