announce: a deregistration counts before the server's first statement, too

Cause: the receiver remembered a deregistration only as a state of the latest server. One of any other server was ignored, and still acknowledged.

Server-Leaving in an answer counts also while the server is taken for dead.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -49,6 +49,8 @@
 	// position is that of the latest statement, for backend servers that number
 	// their statements.
 	position position
+	// ended are the servers that have deregistered.
+	ended endedStarts
 }
 
 // NewReceiver returns a receiver that calls onChange for each change, one call at a
--- a/internal/announce/statement.go
+++ b/internal/announce/statement.go
@@ -1,7 +1,6 @@
 package announce
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/egretfield/egretfield/internal/pb"
@@ -35,8 +34,8 @@
 const (
 	// VerdictAccepted means that the statement is now the latest one.
 	VerdictAccepted Verdict = iota
-	// VerdictStale means that the statement was ignored: it isn't later than the
-	// latest one, or it reports as gone a server other than the latest.
+	// VerdictStale means that the statement was ignored: it isn't later than the latest
+	// one, or it comes from a server that has deregistered.
 	VerdictStale
 	// VerdictInvalid means that the statement was ignored because its announcement
 	// is invalid or can't be ordered.
@@ -48,7 +47,6 @@
 	id            string
 	startedUnixMs int64
 	sequence      uint64
-	gone          bool
 	// leaving is set if the server has said elsewhere that it is leaving.
 	leaving bool
 }
@@ -61,60 +59,66 @@
 // precedes reports whether the position is before that of s.
 func (p position) precedes(s Statement) bool {
 	if p.isSameStart(s) {
-		return !p.gone && (s.Gone || s.Sequence > p.sequence)
+		return s.Sequence > p.sequence
 	}
 	return s.StartedUnixMs > p.startedUnixMs
 }
 
 // HandleStatement handles a statement of a backend server that numbers its statements.
-// One that is invalid or not later than the latest has no effect. Once the latest server
-// has been silent for Lifetime, a server that started earlier replaces it.
+// One that is invalid, not later than the latest or from a server that has deregistered
+// has no effect. Once the latest server has been silent for Lifetime, a server that
+// started earlier replaces it.
 func (r *Receiver) HandleStatement(now time.Time, s Statement) Verdict {
-	if s.Server != nil && (validate(s.Server) != "" || s.StartedUnixMs <= 0) {
+	if s.Gone {
+		return r.handleDeregistration(now, s)
+	}
+	if validate(s.Server) != "" || s.StartedUnixMs <= 0 {
 		return VerdictInvalid
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.isLatest(now, s) {
+	if r.ended.includes(now, s) || !r.isLatest(now, s) {
 		return VerdictStale
 	}
 	saidLeaving := r.position.leaving && r.position.isSameStart(s)
-	r.position = position{
-		id:            s.ID,
-		startedUnixMs: cmp.Or(s.StartedUnixMs, r.position.startedUnixMs),
-		sequence:      max(s.Sequence, r.sequenceOf(s)),
-		gone:          s.Gone,
-		leaving:       saidLeaving,
-	}
+	r.position = position{id: s.ID, startedUnixMs: s.StartedUnixMs, sequence: s.Sequence, leaving: saidLeaving}
 	r.lastHeard = now
-	next := Change{Server: s.Server, Leaving: s.Leaving || s.Gone || saidLeaving}
-	if s.Gone {
-		next.Server = r.current.Server
-	}
-	if next.Server != nil && !next.equivalent(r.current) {
+	next := Change{Server: s.Server, Leaving: s.Leaving || saidLeaving}
+	if !next.equivalent(r.current) {
 		r.current = next
 		r.onChange(next)
 	}
 	return VerdictAccepted
 }
 
-// isLatest reports whether s comes from the server that the node believes in and is its
-// latest statement, or comes from one that takes its place.
+// isLatest reports whether s is the latest statement of the latest server, or comes from
+// a server that replaces it.
 func (r *Receiver) isLatest(now time.Time, s Statement) bool {
-	if r.position.precedes(s) {
-		return !s.Gone || r.position.isSameStart(s)
-	}
 	isSilent := now.Sub(r.lastHeard) >= Lifetime
-	return isSilent && !s.Gone && !r.position.isSameStart(s)
+	return r.position.precedes(s) || isSilent && !r.position.isSameStart(s)
 }
 
-// sequenceOf returns the highest sequence number so far of the start that s belongs to;
-// zero if it is another than the latest.
-func (r *Receiver) sequenceOf(s Statement) uint64 {
+// handleDeregistration records that a server is gone, whether or not the node knows it.
+// If it is the latest, no other statement of it counts from then on.
+func (r *Receiver) handleDeregistration(now time.Time, s Statement) Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended.add(now, s.ID, s.StartedUnixMs)
 	if !r.position.isSameStart(s) {
-		return 0
+		if s.StartedUnixMs != 0 && s.StartedUnixMs < r.position.startedUnixMs {
+			return VerdictStale
+		}
+		return VerdictAccepted
 	}
-	return r.position.sequence
+	if s.StartedUnixMs == 0 {
+		r.ended.add(now, s.ID, r.position.startedUnixMs)
+	}
+	r.lastHeard = now
+	if r.current.Server != nil && !r.current.Leaving {
+		r.current.Leaving = true
+		r.onChange(r.current)
+	}
+	return VerdictAccepted
 }
 
 // equivalent reports whether two changes describe the same state. Values that change
@@ -134,11 +138,8 @@
 func (r *Receiver) SetLeaving(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.current.Server == nil || r.current.Server.GetServerId() != id {
-		return
-	}
-	r.position.leaving = r.position.id == id
-	if !r.current.Leaving {
+	r.position.leaving = r.position.leaving || r.position.id == id
+	if r.current.Server.GetServerId() == id && !r.current.Leaving {
 		r.current.Leaving = true
 		r.onChange(r.current)
 	}
