announce: a number that is too large doesn't shut out the server's later statements

After one heartbeat with the greatest sequence number, under the id and start time of the real server, a node never used that server again (report of another operator; found by a test).

Cause: the greatest number of a start was final. Warm-up times above 2^32 ms were cut to their lowest bits, start times could lie in any future, and the product's own interface took port 99999.

The latest server continues from a lower number after a silence of Lifetime (5 s); a drain that it stated goes on. Start times over an hour ahead, warm-ups over an hour and ports out of range are invalid, and the log says what was expected.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -6,9 +6,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	maxBodyBytes = 4 << 10
 	// maxSlots is the maximum number of slots that a backend server may announce.
 	maxSlots = 100_000
+	// maxWarmupMs is the longest warm-up that a backend server may announce.
+	maxWarmupMs = 3_600_000
 )
 
 // Change is the state of the backend server after its latest announcement, request
@@ -107,15 +110,15 @@
 	if server.GetService() == "" {
 		return "service is empty"
 	}
-	host, _, err := net.SplitHostPort(server.GetAddress())
-	if err != nil {
-		return "address: " + err.Error()
-	}
-	if net.ParseIP(host) == nil {
-		return "address: must be an IP address and a port"
+	address, err := netip.ParseAddrPort(server.GetAddress())
+	if err != nil || address.Port() == 0 {
+		return fmt.Sprintf("address: got %q, expected an IP address and a port from 1 to 65535", server.GetAddress())
 	}
 	if server.GetSlots() == 0 || server.GetSlots() > maxSlots {
-		return "slots: must be between 1 and 100000"
+		return fmt.Sprintf("slots: got %d, expected 1 to %d", server.GetSlots(), maxSlots)
+	}
+	if server.GetWarmupLeftMs() > maxWarmupMs {
+		return fmt.Sprintf("warm-up left: got %d ms, expected at most %d ms", server.GetWarmupLeftMs(), maxWarmupMs)
 	}
 	return ""
 }
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -63,6 +63,9 @@
 		for _, body := range []string{
 			`{`, `{"service":"","address":"127.0.0.1:80","slots":1}`,
 			`{"service":"a","address":"host:80","slots":1}`, `{"service":"a","address":"127.0.0.1:80"}`,
+			`{"service":"a","address":"127.0.0.1:99999","slots":1}`, `{"service":"a","address":"127.0.0.1:0","slots":1}`,
+			`{"service":"a","address":"127.0.0.1:http","slots":1}`, `{"service":"a","address":"127.0.0.1:-1","slots":1}`,
+			`{"service":"a","address":"127.0.0.1:80","slots":1,"warmup_left_ms":4294967295}`,
 			`{"service":"a","address":"127.0.0.1:80","slots":4000000000}`, strings.Repeat(" ", maxBodyBytes+1),
 		} {
 			So(sendRequest(r, http.MethodPost, body), ShouldBeBetween, 399, 500)
--- a/internal/announce/statement.go
+++ b/internal/announce/statement.go
@@ -1,6 +1,7 @@
 package announce
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/egretfield/egretfield/internal/pb"
@@ -47,8 +48,9 @@
 	id            string
 	startedUnixMs int64
 	sequence      uint64
-	// leaving is set if the server has said elsewhere that it is leaving.
-	leaving bool
+	// leaving is set if the server has said elsewhere that it is leaving, and draining if
+	// its latest statement says so.
+	leaving, draining bool
 }
 
 // isSameStart reports whether s comes from the start of the server that p belongs to.
@@ -64,38 +66,57 @@
 	return s.StartedUnixMs > p.startedUnixMs
 }
 
+// maxStartAhead is how far a server's start time may be ahead of the node's clock.
+const maxStartAhead = time.Hour
+
+// Problem describes why a statement is invalid. It returns "" for a valid one.
+func (s Statement) Problem(now time.Time) string {
+	if s.Gone {
+		return ""
+	}
+	if latest := now.Add(maxStartAhead).UnixMilli(); s.StartedUnixMs <= 0 || s.StartedUnixMs > latest {
+		return fmt.Sprintf("start time: got %d ms, expected 1 to %d ms of Unix time", s.StartedUnixMs, latest)
+	}
+	return validate(s.Server)
+}
+
 // HandleStatement handles a statement of a backend server that numbers its statements.
 // One that is invalid, not later than the latest or from a server that has deregistered
-// has no effect. Once the latest server has been silent for Lifetime, a server that
-// started earlier replaces it.
+// has no effect. The latest one loses its place after a silence of Lifetime: then a
+// server that started earlier replaces it, or its own server continues from a lower
+// sequence number.
 func (r *Receiver) HandleStatement(now time.Time, s Statement) Verdict {
 	if s.Gone {
 		return r.handleDeregistration(now, s)
 	}
-	if validate(s.Server) != "" || s.StartedUnixMs <= 0 {
+	if s.Problem(now) != "" {
 		return VerdictInvalid
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended.includes(now, s) || !r.isLatest(now, s) {
+	isLater := r.position.precedes(s)
+	isSilent := now.Sub(r.lastHeard) >= Lifetime
+	if r.ended.includes(now, s) || !isLater && !isSilent {
 		return VerdictStale
 	}
-	saidLeaving := r.position.leaving && r.position.isSameStart(s)
-	r.position = position{id: s.ID, startedUnixMs: s.StartedUnixMs, sequence: s.Sequence, leaving: saidLeaving}
+	next := position{id: s.ID, startedUnixMs: s.StartedUnixMs, sequence: s.Sequence, draining: s.Leaving}
+	if r.position.isSameStart(s) {
+		// A statement that isn't later may be late, so it doesn't end a drain.
+		next.draining = next.draining || !isLater && r.position.draining
+		next.leaving = r.position.leaving
+	}
+	r.position = next
 	r.lastHeard = now
-	next := Change{Server: s.Server, Leaving: s.Leaving || saidLeaving}
+	r.setCurrent(Change{Server: s.Server, Leaving: next.draining || next.leaving})
+	return VerdictAccepted
+}
+
+// setCurrent stores the state of the backend server and reports it if it is a change.
+func (r *Receiver) setCurrent(next Change) {
 	if !next.equivalent(r.current) {
 		r.current = next
 		r.onChange(next)
 	}
-	return VerdictAccepted
-}
-
-// isLatest reports whether s is the latest statement of the latest server, or comes from
-// a server that replaces it.
-func (r *Receiver) isLatest(now time.Time, s Statement) bool {
-	isSilent := now.Sub(r.lastHeard) >= Lifetime
-	return r.position.precedes(s) || isSilent && !r.position.isSameStart(s)
 }
 
 // handleDeregistration records that a server is gone, whether or not the node knows it.
--- a/internal/announce/statement_test.go
+++ b/internal/announce/statement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -109,6 +110,22 @@
 			So(last.Server.GetServerId(), ShouldEqual, "a")
 			So(r.HandleStatement(start.Add(Lifetime), newStatement("a", 100, 4)), ShouldEqual, VerdictStale)
 		})
+		Convey("one with a sequence number or a start time that is too large holds no longer, either", func() {
+			So(r.HandleStatement(start, newStatement("foreign", start.Add(2*maxStartAhead).UnixMilli(), 1)), ShouldEqual, VerdictInvalid)
+			So(r.HandleStatement(start, newStatement("a", 100, math.MaxUint64)), ShouldEqual, VerdictAccepted)
+			So(r.HandleStatement(start.Add(Lifetime-1), newStatement("a", 100, 3)), ShouldEqual, VerdictStale)
+			So(r.HandleStatement(start.Add(Lifetime), newStatement("a", 100, 4)), ShouldEqual, VerdictAccepted)
+			So(r.HandleStatement(start.Add(Lifetime), newStatement("a", 100, 5)), ShouldEqual, VerdictAccepted)
+		})
+		Convey("a late statement of a draining server doesn't end its drain after a silence", func() {
+			leaving := newStatement("a", 100, 9)
+			leaving.Leaving = true
+			So(r.HandleStatement(start, leaving), ShouldEqual, VerdictAccepted)
+			r.expire(start.Add(Lifetime))
+			So(last.Server, ShouldBeNil)
+			So(r.HandleStatement(start.Add(Lifetime), newStatement("a", 100, 8)), ShouldEqual, VerdictAccepted)
+			So(last.Leaving, ShouldBeTrue)
+		})
 		Convey("a deregistration of another server that names no start time has no effect", func() {
 			r.HandleStatement(start, Statement{ID: "foreign", Gone: true})
 			So(r.HandleStatement(start, newStatement("a", 100, 3)), ShouldEqual, VerdictAccepted)
