announce: a server's id must fit a header

The id in the path of a heartbeat was taken as it came, with spaces, line breaks and up to 20,000 characters, and sent to the server with each request (Headers.TargetServer): a line break in it adds headers.

An id has at most 128 printable ASCII characters without spaces now, in heartbeats, deregistrations and announcements.

Not shown with a real process.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -30,6 +30,8 @@
 	maxSlots = 100_000
 	// maxWarmupMs is the longest warm-up that a backend server may announce.
 	maxWarmupMs = 3_600_000
+	// maxIDBytes is the maximum length of a backend server's ID.
+	maxIDBytes = 128
 )
 
 // Change is the state of the backend server after its latest announcement, request
@@ -120,9 +122,26 @@
 	if server.GetWarmupLeftMs() > maxWarmupMs {
 		return fmt.Sprintf("warm-up left: got %d ms, expected at most %d ms", server.GetWarmupLeftMs(), maxWarmupMs)
 	}
+	if id := server.GetServerId(); !isToken(id) {
+		return idProblem(id)
+	}
 	return ""
 }
 
+func idProblem(id string) string {
+	return fmt.Sprintf("server id: got %.40q with %d bytes, expected up to %d printable ASCII characters without spaces", id, len(id), maxIDBytes)
+}
+
+// isToken reports whether an id can be sent in a header.
+func isToken(id string) bool {
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return len(id) <= maxIDBytes
+}
+
 func (r *Receiver) leave(w http.ResponseWriter, _ *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/announce/statement.go
+++ b/internal/announce/statement.go
@@ -38,8 +38,7 @@
 	// VerdictStale means that the statement was ignored: it isn't later than the latest
 	// one, or it comes from a server that has deregistered.
 	VerdictStale
-	// VerdictInvalid means that the statement was ignored because its announcement
-	// is invalid or can't be ordered.
+	// VerdictInvalid means that the statement was ignored; Statement.Problem says why.
 	VerdictInvalid
 )
 
@@ -71,6 +70,9 @@
 
 // Problem describes why a statement is invalid. It returns "" for a valid one.
 func (s Statement) Problem(now time.Time) string {
+	if s.ID == "" || !isToken(s.ID) {
+		return idProblem(s.ID)
+	}
 	if s.Gone {
 		return ""
 	}
@@ -86,12 +88,12 @@
 // server that started earlier replaces it, or its own server continues from a lower
 // sequence number.
 func (r *Receiver) HandleStatement(now time.Time, s Statement) Verdict {
-	if s.Gone {
-		return r.handleDeregistration(now, s)
-	}
 	if s.Problem(now) != "" {
 		return VerdictInvalid
 	}
+	if s.Gone {
+		return r.handleDeregistration(now, s)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	isLater := r.position.precedes(s)
