--- a/cmd/egretnode/main.go
+++ b/cmd/egretnode/main.go
@@ -109,7 +109,9 @@
 	}
 	options := node.Options{Settings: loaded, Logger: logger, Level: level, Metrics: metrics}
 	if loaded.GetPlatform() != nil {
-		options.Platform = platform.New(loaded)
+		adapter := platform.New(loaded)
+		adapter.SetLogger(logger.Named("store"))
+		options.Platform = adapter
 	}
 	return node.New(options)
 }
