member: numbers of a received record are bounded

Records with an incarnation or revision above 2^53, more than 2^30 refutations or an age that a Duration can't hold are invalid and counted.

Evidence: TestOddRecords/the_greatest_incarnation failed before: within 20 s of virtual time the nodes didn't agree again. The six other kinds passed.

--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"math"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -24,6 +26,18 @@
 	maxAddressBytes = 128
 )
 
+// Limits of the numbers in a record. A node overrides what others say of it with a greater
+// number, which must not overflow.
+const (
+	// maxIncarnation is a time of the 23rd century: incarnations are microseconds of Unix
+	// time.
+	maxIncarnation = 1 << 53
+	maxRevision    = 1 << 53
+	maxRefutations = 1 << 30
+	// maxAgeMs is the age of a tombstone in whole milliseconds that a time.Duration holds.
+	maxAgeMs = math.MaxInt64 / uint64(time.Millisecond)
+)
+
 // valid reports whether a received record is well-formed.
 func valid(r *pb.MemberRecord) bool {
 	m := r.GetMember()
@@ -38,6 +52,9 @@
 			return false
 		}
 	}
+	if m.Incarnation > maxIncarnation || m.Revision > maxRevision || r.Refutations > maxRefutations || r.AgeMs > maxAgeMs {
+		return false
+	}
 	statusKnown := m.Status == alive || m.Status == draining || m.Status == left
 	livenessKnown := r.Liveness == alive || r.Liveness == suspect || r.Liveness == dead
 	return statusKnown && livenessKnown
