wire: a request isn't sent again on a connection on which it was refused

Cause: late copies are told from the next answer by the request id that servers repeat, which is the same when the request is sent again there. Servers that needn't repeat ids had the same fault after four other requests.

A connection remembers refused and failed requests until their deadlines, at most 64, carries none of them again, and recognises copies of their answers.

--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -165,7 +165,12 @@
 		b.x.conn.close()
 		return
 	}
-	b.x.conn.rememberID(b.x.params.Call.RequestID)
+	call := b.x.params.Call
+	b.x.conn.rememberID(call.RequestID)
+	if b.x.mayBeSentAgain() && !b.x.conn.rememberResendable(call.RequestID, call.Deadline) {
+		b.x.conn.close()
+		return
+	}
 	b.x.conn.pool.put(b.x.conn)
 }
 
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -137,7 +137,7 @@
 // Do sends a call and returns its answer once the header has arrived. Its errors are of
 // type *SendError. When ctx ends, reads and writes on the connection fail, and it is closed.
 func (c *Client) Do(ctx context.Context, s SendParams) (*Answer, error) {
-	cn, err := c.pool(s.Addr).get(ctx, s.Call.Deadline, s.RequireNewConn)
+	cn, err := c.pool(s.Addr).get(ctx, s.Call, s.RequireNewConn)
 	if err != nil {
 		return nil, &SendError{cause: err}
 	}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -24,6 +25,10 @@
 // recognised without the server's promise to repeat ids.
 const maxEarlierIDs = 4
 
+// maxResendableIDs is the number of refused or failed requests, before their deadlines,
+// with which a connection is kept.
+const maxResendableIDs = 64
+
 // pastDeadline is a deadline that ends all reads and writes at once.
 var pastDeadline = time.Unix(1, 0)
 
@@ -53,10 +58,35 @@
 	// earlierIDs are the ids of the latest requests before the current one.
 	earlierIDs [maxEarlierIDs]string
 	nextID     int
+	// resendable are the requests on this connection that may be sent again until their
+	// deadlines.
+	resendable []resendableID
 	aborted    atomic.Bool
 	closed     atomic.Bool
 }
 
+// resendableID is the id of a request that was refused or failed.
+type resendableID struct {
+	id       string
+	deadline time.Time
+}
+
+// rememberResendable records that a request may be sent again until its deadline. It
+// returns false if there are too many of them.
+func (c *conn) rememberResendable(id string, deadline time.Time) bool {
+	now := time.Now()
+	c.resendable = slices.DeleteFunc(c.resendable, func(r resendableID) bool { return !now.Before(r.deadline) })
+	c.resendable = append(c.resendable, resendableID{id: id, deadline: deadline})
+	return len(c.resendable) <= maxResendableIDs
+}
+
+// mayAnswerAgain reports whether the connection has carried a request that may be sent
+// again. A late second answer to it couldn't be told from the answer to the repetition.
+func (c *conn) mayAnswerAgain(id string) bool {
+	now := time.Now()
+	return slices.ContainsFunc(c.resendable, func(r resendableID) bool { return r.id == id && now.Before(r.deadline) })
+}
+
 func newConn(nc net.Conn, p *pool) *conn {
 	c := &conn{
 		Conn:         nc,
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,18 +28,19 @@
 }
 
 // get returns an idle connection or dials a new one; requireNewConn requires a new one.
-func (p *pool) get(ctx context.Context, deadline time.Time, requireNewConn bool) (*conn, error) {
+func (p *pool) get(ctx context.Context, call *Call, requireNewConn bool) (*conn, error) {
 	if !requireNewConn {
-		if c := p.takeUsable(); c != nil {
+		if c := p.takeUsable(call.RequestID); c != nil {
 			return c, nil
 		}
 	}
-	return p.dial(ctx, deadline)
+	return p.dial(ctx, call.Deadline)
 }
 
-func (p *pool) takeUsable() *conn {
+// takeUsable returns an idle connection for a request; nil if there is none.
+func (p *pool) takeUsable(requestID string) *conn {
 	for {
-		c := p.popIdle()
+		c := p.popIdle(requestID)
 		if c == nil {
 			return nil
 		}
@@ -50,18 +52,19 @@
 	}
 }
 
-func (p *pool) popIdle() *conn {
+// popIdle removes and returns the newest idle connection on which no late answer to an
+// earlier sending of the request can arrive.
+func (p *pool) popIdle(requestID string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastUsed = time.Now()
-	if len(p.idle) == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !c.mayAnswerAgain(requestID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	last := len(p.idle) - 1
-	c := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return c
+	return nil
 }
 
 func (p *pool) isUsable(c *conn) bool {
--- a/internal/wire/serveranswer.go
+++ b/internal/wire/serveranswer.go
@@ -28,7 +28,7 @@
 	if echoed == "" || echoed == x.params.Call.RequestID {
 		return false
 	}
-	return options.Headers.EchoesRequestID || slices.Contains(x.conn.earlierIDs[:], echoed)
+	return options.Headers.EchoesRequestID || slices.Contains(x.conn.earlierIDs[:], echoed) || x.conn.mayAnswerAgain(echoed)
 }
 
 // rememberID records the id of a request whose answer was complete.
@@ -37,6 +37,20 @@
 	c.nextID++
 }
 
+// mayBeSentAgain reports whether the request may be sent again after its answer, on
+// whatever connection.
+func (x *exchange) mayBeSentAgain() bool {
+	if x.client.options.BetweenNodes {
+		return false // each attempt has an id of its own
+	}
+	switch answer := &x.result; answer.Status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests:
+		return true
+	default:
+		return answer.NotExecuted || answer.Misdirected || answer.Status >= http.StatusInternalServerError
+	}
+}
+
 // discardStale reads and discards an answer that belongs to another request.
 func (x *exchange) discardStale(resp *http.Response) error {
 	x.client.mismatches.Add(1)
