announce, member: departures of backend servers outlast a restart of the node

Cause: what a node acknowledges was kept in its memory only.

The node appends the latest eight departures to its join record before it acknowledges a new one, waits up to 300 ms for that, and its next start reads them with the member list. Without the log a line says that it isn't recorded.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -47,6 +47,10 @@
 // Receiver receives announcements. It is safe for concurrent use.
 type Receiver struct {
 	onChange func(Change)
+	// onDeparture records departures outside of the process; may be nil.
+	onDeparture func([]*pb.Departure)
+	// departureMu keeps the calls of onDeparture in the order of the deregistrations.
+	departureMu sync.Mutex
 
 	mu        sync.Mutex
 	current   Change
@@ -64,6 +68,11 @@
 	return &Receiver{onChange: onChange}
 }
 
+// OnDeparture sets the function that records the latest departures, oldest first, where a
+// later start of the node finds them. It is called before a deregistration that isn't
+// recorded yet is acknowledged. Call OnDeparture before the receiver is used.
+func (r *Receiver) OnDeparture(record func([]*pb.Departure)) { r.onDeparture = record }
+
 // Handler serves POST /announce (a JSON Announcement) and DELETE /announce (the
 // backend server is leaving).
 func (r *Receiver) Handler() http.Handler {
--- a/internal/announce/ended.go
+++ b/internal/announce/ended.go
@@ -3,11 +3,15 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/egretfield/egretfield/internal/pb"
 )
 
 const (
 	// maxEnded is the number of deregistered starts that are remembered.
 	maxEnded = 64
+	// maxDepartures is the number of them that are recorded outside of the process.
+	maxDepartures = 8
 	// maxLateness is how late a statement may arrive. A deregistration without a start
 	// time holds for that long.
 	maxLateness = 30 * time.Second
@@ -41,6 +45,26 @@
 	e.starts = append(e.starts, endedStart{id: id, startedUnixMs: startedUnixMs, at: now})
 }
 
+// has reports whether the deregistration of a start is recorded.
+func (e *endedStarts) has(id string, startedUnixMs int64) bool {
+	return slices.ContainsFunc(e.starts, func(start endedStart) bool {
+		return start.id == id && start.startedUnixMs == startedUnixMs
+	})
+}
+
+// departures returns the latest maxDepartures starts, oldest first.
+func (e *endedStarts) departures() []*pb.Departure {
+	var departures []*pb.Departure
+	for _, start := range e.starts[max(0, len(e.starts)-maxDepartures):] {
+		departures = append(departures, &pb.Departure{
+			ServerId:       start.id,
+			StartedUnixMs:  start.startedUnixMs,
+			DepartedUnixMs: start.at.UnixMilli(),
+		})
+	}
+	return departures
+}
+
 // includes reports whether s comes from a start that has deregistered.
 func (e *endedStarts) includes(now time.Time, s Statement) bool {
 	for _, start := range e.starts {
--- a/internal/announce/statement.go
+++ b/internal/announce/statement.go
@@ -124,8 +124,28 @@
 // handleDeregistration records that a server is gone, whether or not the node knows it.
 // If it is the latest, no other statement of it counts from then on.
 func (r *Receiver) handleDeregistration(now time.Time, s Statement) Verdict {
+	r.departureMu.Lock()
+	defer r.departureMu.Unlock()
+	verdict, departures := r.deregister(now, s)
+	if departures != nil && r.onDeparture != nil {
+		r.onDeparture(departures)
+	}
+	return verdict
+}
+
+// deregister records a deregistration. It returns the latest departures if it is a new one.
+func (r *Receiver) deregister(now time.Time, s Statement) (verdict Verdict, departures []*pb.Departure) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	isNew := !r.ended.has(s.ID, s.StartedUnixMs)
+	verdict = r.deregisterLocked(now, s)
+	if isNew {
+		departures = r.ended.departures()
+	}
+	return verdict, departures
+}
+
+func (r *Receiver) deregisterLocked(now time.Time, s Statement) Verdict {
 	r.ended.add(now, s.ID, s.StartedUnixMs)
 	if !r.position.isSameStart(s) {
 		if s.StartedUnixMs != 0 && s.StartedUnixMs < r.position.startedUnixMs {
@@ -137,11 +157,32 @@
 		r.ended.add(now, s.ID, r.position.startedUnixMs)
 	}
 	r.lastHeard = now
+	r.setLeavingLocked()
+	return VerdictAccepted
+}
+
+// setLeavingLocked marks the current server, if there is one, as leaving.
+func (r *Receiver) setLeavingLocked() {
 	if r.current.Server != nil && !r.current.Leaving {
 		r.current.Leaving = true
 		r.onChange(r.current)
 	}
-	return VerdictAccepted
+}
+
+// Restore adds departures that an earlier start of the node recorded. A server among them
+// that was put in use meanwhile leaves.
+func (r *Receiver) Restore(now time.Time, departures []*pb.Departure) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range departures[max(0, len(departures)-maxDepartures):] {
+		if isToken(d.GetServerId()) && !r.ended.has(d.GetServerId(), d.GetStartedUnixMs()) {
+			r.ended.add(time.UnixMilli(d.GetDepartedUnixMs()), d.GetServerId(), d.GetStartedUnixMs())
+		}
+	}
+	latest := Statement{ID: r.position.id, StartedUnixMs: r.position.startedUnixMs}
+	if r.position.id != "" && r.ended.includes(now, latest) {
+		r.setLeavingLocked()
+	}
 }
 
 // equivalent reports whether two changes describe the same state. Values that change
@@ -162,9 +203,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.position.leaving = r.position.leaving || r.position.id == id
-	if r.current.Server.GetServerId() == id && !r.current.Leaving {
-		r.current.Leaving = true
-		r.onChange(r.current)
+	if r.current.Server.GetServerId() == id {
+		r.setLeavingLocked()
 	}
 }
 
--- a/internal/announce/statement_test.go
+++ b/internal/announce/statement_test.go
@@ -217,3 +217,51 @@
 		So(r.HandleStatement(start.Add(6*time.Second), second), ShouldEqual, VerdictStale)
 	})
 }
+
+// Guards against requests to a server whose deregistration was acknowledged by an earlier
+// start of the node, and whose late statement puts it in use (DRAIN).
+func TestDeparturesAfterRestart(t *testing.T) {
+	start := time.Unix(1000, 0)
+	bootMs := start.Add(-time.Second).UnixMilli()
+	Convey("Given a node that has acknowledged a deregistration", t, func() {
+		var recorded []*pb.Departure
+		calls := 0
+		before := NewReceiver(func(Change) {})
+		before.OnDeparture(func(departures []*pb.Departure) { recorded, calls = departures, calls+1 })
+		before.HandleStatement(start, newStatement("a", bootMs, 1))
+		So(before.HandleStatement(start, Statement{ID: "a", Gone: true}), ShouldEqual, VerdictAccepted)
+		So(calls, ShouldEqual, 1)
+		Convey("a repeated one isn't recorded again, and the record is bounded", func() {
+			before.HandleStatement(start.Add(time.Second), Statement{ID: "a", Gone: true})
+			So(calls, ShouldEqual, 1)
+			for i := range 3 * maxDepartures {
+				before.HandleStatement(start, Statement{ID: fmt.Sprint(i), Gone: true})
+			}
+			So(recorded, ShouldHaveLength, maxDepartures)
+			So(recorded[maxDepartures-1].GetServerId(), ShouldEqual, fmt.Sprint(3*maxDepartures-1))
+		})
+		Convey("its next start believes no late statement", func() {
+			var last Change
+			after := NewReceiver(func(c Change) { last = c })
+			late := start.Add(3 * time.Second)
+			Convey("that arrives after the record", func() {
+				after.Restore(late, recorded)
+				So(after.HandleStatement(late, newStatement("a", bootMs, 1)), ShouldEqual, VerdictStale)
+				So(last.Server, ShouldBeNil)
+			})
+			Convey("that arrives before the record", func() {
+				So(after.HandleStatement(late, newStatement("a", bootMs, 1)), ShouldEqual, VerdictAccepted)
+				after.Restore(late, recorded)
+				So(last.Leaving, ShouldBeTrue)
+			})
+			Convey("but believes those of a later start", func() {
+				after.Restore(late, recorded)
+				for i, id := range []string{"a", "b"} {
+					So(after.HandleStatement(late, newStatement(id, late.UnixMilli()-int64(100-i), 1)), ShouldEqual, VerdictAccepted)
+					So(last.Server.GetServerId(), ShouldEqual, id)
+					So(last.Leaving, ShouldBeFalse)
+				}
+			})
+		})
+	})
+}
--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -33,6 +33,8 @@
 	rand        *rand.Rand
 	// incarnations is the incarnation given to the latest start.
 	incarnations uint64
+	// onDepartures gets the departures that a node finds when it starts; nil: none does.
+	onDepartures func(instance string, departures []*pb.Departure)
 }
 
 // node is one List of a cluster and the client that it calls others with.
@@ -78,6 +80,11 @@
 		Seeds:         seeds,
 		Incarnation:   incarnation,
 		Seed:          incarnation,
+		OnDepartures: func(departures []*pb.Departure) {
+			if c.onDepartures != nil {
+				c.onDepartures(instance, departures)
+			}
+		},
 	})
 	if err != nil {
 		panic(err)
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -43,6 +43,8 @@
 	health         health
 	knownAddresses knownAddresses
 	checking       map[string]bool
+	// departures are those of this node's join record.
+	departures     []*pb.Departure
 	flushScheduled bool
 	started        bool
 	closed         bool
--- a/internal/member/logcalls_test.go
+++ b/internal/member/logcalls_test.go
@@ -129,3 +129,39 @@
 		})
 	})
 }
+
+// Guards against a node that has forgotten after a restart which backend servers
+// deregistered with it (DRAIN).
+func TestDeparturesInJoinRecord(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.close()
+		c.keyed = &keyedLog{fakeLog: c.log}
+		departures := []*pb.Departure{{ServerId: "s-1", StartedUnixMs: 5, DepartedUnixMs: 9}}
+		Convey("The next start of a node gets the departures, and keeps them in its own join record", t, func() {
+			first := c.start("a00", "a00:1", "region0")
+			other := c.start("a01", "a01:1", "region1")
+			So(first.list.RecordDepartures(context.Background(), departures), ShouldBeNil)
+			for range 3 {
+				time.Sleep(time.Minute)
+				c.crash(first)
+				restored := make(chan []*pb.Departure, 10)
+				c.onDepartures = func(instance string, d []*pb.Departure) {
+					if instance == "a00" {
+						restored <- d
+					}
+				}
+				first = c.start("a00", "a00:1", "region0")
+				time.Sleep(10 * time.Second)
+				So(restored, ShouldNotBeEmpty)
+				So((<-restored)[0].GetServerId(), ShouldEqual, "s-1")
+			}
+			c.crash(other)
+		})
+		Convey("A failed append is reported", t, func() {
+			n := c.start("a02", "a02:1", "region0")
+			c.log.setDown(true)
+			So(n.list.RecordDepartures(context.Background(), departures), ShouldNotBeNil)
+		})
+	})
+}
--- a/internal/member/memberstream.go
+++ b/internal/member/memberstream.go
@@ -214,6 +214,9 @@
 		return
 	}
 	l := f.l
+	if l.restoreDepartures(join) {
+		l.opts.OnDepartures(join.GetDepartures())
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if m.Instance != l.opts.Member.Instance {
@@ -225,11 +228,55 @@
 	}
 }
 
+// restoreDepartures takes over the departures of this instance's join record of an earlier
+// start of the node. It reports whether there are any and the node wants to know them.
+func (l *List) restoreDepartures(join *pb.JoinRecord) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own := l.own().Member
+	if len(join.GetDepartures()) == 0 || join.Member.Instance != own.Instance || join.Member.Incarnation == own.Incarnation {
+		return false
+	}
+	if l.departures == nil {
+		l.departures = join.GetDepartures()
+	}
+	return l.opts.OnDepartures != nil
+}
+
+// RecordDepartures appends this node's join record with the departures of its backend
+// servers, which replace those of before. It returns when that is done, or when ctx ends.
+func (l *List) RecordDepartures(ctx context.Context, departures []*pb.Departure) error {
+	l.mu.Lock()
+	l.departures = departures
+	own := l.own().Member
+	l.mu.Unlock()
+	if l.opts.Log == nil {
+		return nil
+	}
+	return l.appendJoin(ctx, own, departures)
+}
+
+// appendJoin appends a join record.
+func (l *List) appendJoin(ctx context.Context, own *pb.Member, departures []*pb.Departure) error {
+	data, err := proto.Marshal(&pb.JoinRecord{Member: own, Departures: departures})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	l.stats.appends.Add(1)
+	if _, err := l.opts.Log.Append(ctx, platformlog.MemberStream, data); err != nil {
+		l.stats.logFailed.Add(1)
+		return err
+	}
+	return nil
+}
+
 // appendOwn appends this node's join record.
 func (f *logFollower) appendOwn() {
 	l := f.l
 	l.mu.Lock()
-	own := l.own().Member
+	own, departures := l.own().Member, l.departures
 	skip := own.Status == left || l.health.superseded
 	wait := l.jitter(appendInterval)
 	retry := l.jitter(appendRetryInterval)
@@ -238,16 +285,8 @@
 	if skip {
 		return
 	}
-	data, err := proto.Marshal(&pb.JoinRecord{Member: own})
-	if err != nil {
-		l.logger.Error("join record not encoded", zap.Error(err))
-		return
-	}
-	ctx, cancel := context.WithTimeout(l.ctx, logTimeout)
-	defer cancel()
-	l.stats.appends.Add(1)
-	if _, err := l.opts.Log.Append(ctx, platformlog.MemberStream, data); err != nil {
-		l.stats.logFailed.Add(1)
+	if err := l.appendJoin(l.ctx, own, departures); err != nil {
+		l.logger.Debug("join record not appended", zap.Error(err))
 		f.nextAppend = time.Now().Add(retry)
 	}
 }
--- a/internal/member/options.go
+++ b/internal/member/options.go
@@ -117,6 +117,9 @@
 	// JoinSpread is the maximum random delay before the first append to the member
 	// stream; zero: DefaultJoinSpread.
 	JoinSpread time.Duration
+	// OnDepartures is called with the departures in this instance's join record of an
+	// earlier start of the node; may be nil.
+	OnDepartures func([]*pb.Departure)
 }
 
 // withDefaults validates the options and sets defaults for those left at zero.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -108,6 +108,7 @@
 		Seeds:         n.settings.GetSeeds(),
 		Budget:        n.limiter,
 		Logger:        n.logger.Named("members"),
+		OnDepartures:  func(departures []*pb.Departure) { n.receiver.Restore(time.Now(), departures) },
 	})
 	return err
 }
@@ -200,5 +201,6 @@
 	n.entry = entry.New(entryOptions)
 	n.drain = newDrainer(n.members, n.gate, settings.Duration(n.settings.GetDrainNotice()), n.logger.Named("drain"))
 	n.receiver = announce.NewReceiver(n.onAnnouncement)
+	n.receiver.OnDeparture(n.recordDepartures)
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,6 +188,20 @@
 	n.configureGate(n.follower.Current(), server.GetService())
 }
 
+// departureTimeout limits how long the acknowledgement of a deregistration waits until it
+// is recorded.
+const departureTimeout = 300 * time.Millisecond
+
+// recordDepartures appends the departures of backend servers to the log, so that a late
+// heartbeat doesn't put one in use after a restart of the node.
+func (n *Node) recordDepartures(departures []*pb.Departure) {
+	ctx, cancel := context.WithTimeout(context.Background(), departureTimeout)
+	defer cancel()
+	if err := n.members.RecordDepartures(ctx, departures); err != nil {
+		n.logger.Warn("departure of the backend server not recorded: a restart of the node forgets it", zap.Error(err))
+	}
+}
+
 // onServerDown is called when the backend server was found dead. It forgets the server,
 // so that no node chooses it until its next announcement.
 func (n *Node) onServerDown() {
