entry: the route is chosen by the path that is sent on

Cause: the route was chosen by the path that net/http had decoded, while the received bytes were sent on.

The target is read once (targetOf): its bytes are sent on, and compared with prefixes under the equivalences of RFC 3986, 6.2.2.

--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -62,7 +62,7 @@
 		Header:    x.r.Header,
 		BodyBytes: x.r.ContentLength,
 	}
-	if err := x.validate(found.path, routes); err != nil {
+	if err := x.validate(routes); err != nil {
 		return errorAnswer(err)
 	}
 	if !x.call.Idempotent {
@@ -130,7 +130,7 @@
 }
 
 // validate checks the request line and the header, and sets the deadline.
-func (x *exchange) validate(path string, routes *Routes) error {
+func (x *exchange) validate(routes *Routes) error {
 	if size := headerSize(x.r); size > routes.limits.headerBytes {
 		return errkind.New(pb.ErrorKind_ERROR_KIND_HEADERS_TOO_LARGE, "the request header has %d bytes, the limit is %d", size, routes.limits.headerBytes)
 	}
@@ -140,7 +140,7 @@
 	if x.r.Method == http.MethodConnect {
 		return errkind.New(pb.ErrorKind_ERROR_KIND_BAD_REQUEST, "the CONNECT method is not supported")
 	}
-	if hasDotSegment(path) {
+	if hasDotSegment(x.r.URL.Path) {
 		return errkind.New(pb.ErrorKind_ERROR_KIND_BAD_REQUEST, "the path contains dot segments")
 	}
 	if err := x.validateDepth(routes.maxDepth); err != nil {
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -34,9 +34,8 @@
 type match struct {
 	service *service
 	route   *route
-	// uri is the request target sent to the backend server, path its path.
-	uri  string
-	path string
+	// uri is the request target sent to the backend server.
+	uri string
 }
 
 // service is a service of a snapshot.
@@ -62,7 +61,8 @@
 // route is a route of a service; a requestRoute embeds one.
 type route struct {
 	// name is the name of a request route; empty for a route of a service.
-	name       string
+	name string
+	// pathPrefix is in the form in which paths are compared.
 	pathPrefix string
 	methods    []string
 	// idempotent declares whether requests are idempotent; nil decides by the method.
@@ -141,7 +141,7 @@
 
 func newRoute(from *pb.Route) route {
 	r := route{
-		pathPrefix:   from.GetPathPrefix(),
+		pathPrefix:   comparablePath(from.GetPathPrefix()),
 		methods:      from.GetMethods(),
 		idempotent:   from.Idempotent,
 		class:        from.GetClass(),
@@ -204,12 +204,10 @@
 // find matches a request to a service and route. It returns false if there is no such
 // service.
 func (routes *Routes) find(r *http.Request) (match, bool) {
-	m := match{uri: r.RequestURI, path: r.URL.Path}
-	if !strings.HasPrefix(m.uri, "/") && m.uri != "*" {
-		m.uri = r.URL.RequestURI() // absolute form
-	}
+	received := targetOf(r)
+	m, path := match{uri: received.uri}, received.path
 	host := hostName(r.Host)
-	if found := routes.findRequestRoute(host, m.path); found != nil {
+	if found := routes.findRequestRoute(host, path); found != nil {
 		m.service, m.route = found.nextService(), &found.route
 		return m, true
 	}
@@ -221,7 +219,7 @@
 		name, _, _ := strings.Cut(rest, "?")
 		name, _, _ = strings.Cut(name, "/")
 		m.uri = withLeadingSlash(rest[len(name):])
-		m.path = withLeadingSlash(strings.TrimPrefix(m.path, servicePrefix+name))
+		path = withLeadingSlash(strings.TrimPrefix(path, servicePrefix+comparablePath(name)))
 		m.service = routes.services[name]
 	} else {
 		m.service = routes.servicesByHost[host]
@@ -229,7 +227,7 @@
 	if m.service == nil {
 		return m, false
 	}
-	m.route = m.service.match(r.Method, m.path)
+	m.route = m.service.match(r.Method, path)
 	return m, true
 }
 
