announce: a drain is remembered apart from the latest server

A server that drained, gave way to another one and was heard again after a silence by a late statement was put in use again: the drain was kept only with the latest server.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -60,6 +60,8 @@
 	position position
 	// ended are the servers that have deregistered.
 	ended endedStarts
+	// leaving are the servers that have said that they are leaving.
+	leaving leavingStarts
 }
 
 // NewReceiver returns a receiver that calls onChange for each change, one call at a
@@ -69,7 +71,7 @@
 }
 
 // OnDeparture sets the function that records the latest departures, oldest first, where a
-// later start of the node finds them. It is called before a deregistration that isn't
+// later start of the node finds them. It must keep those of earlier starts. It is called before a deregistration that isn't
 // recorded yet is acknowledged. Call OnDeparture before the receiver is used.
 func (r *Receiver) OnDeparture(record func([]*pb.Departure)) { r.onDeparture = record }
 
--- a/internal/announce/statement.go
+++ b/internal/announce/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/egretfield/egretfield/internal/pb"
@@ -47,9 +48,6 @@
 	id            string
 	startedUnixMs int64
 	sequence      uint64
-	// leaving is set if the server has said elsewhere that it is leaving, and draining if
-	// its latest statement says so.
-	leaving, draining bool
 }
 
 // isSameStart reports whether s comes from the start of the server that p belongs to.
@@ -101,15 +99,12 @@
 	if r.ended.includes(now, s) || !isLater && !isSilent {
 		return VerdictStale
 	}
-	next := position{id: s.ID, startedUnixMs: s.StartedUnixMs, sequence: s.Sequence, draining: s.Leaving}
-	if r.position.isSameStart(s) {
-		// A statement that isn't later may be late, so it doesn't end a drain.
-		next.draining = next.draining || !isLater && r.position.draining
-		next.leaving = r.position.leaving
+	if s.Leaving {
+		r.leaving.add(s.ID, s.StartedUnixMs, s.Sequence)
 	}
-	r.position = next
+	r.position = position{id: s.ID, startedUnixMs: s.StartedUnixMs, sequence: s.Sequence}
 	r.lastHeard = now
-	r.setCurrent(Change{Server: s.Server, Leaving: next.draining || next.leaving})
+	r.setCurrent(Change{Server: s.Server, Leaving: r.leaving.covers(s)})
 	return VerdictAccepted
 }
 
@@ -202,7 +197,9 @@
 func (r *Receiver) SetLeaving(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.position.leaving = r.position.leaving || r.position.id == id
+	if r.position.id == id {
+		r.leaving.add(id, r.position.startedUnixMs, math.MaxUint64)
+	}
 	if r.current.Server.GetServerId() == id {
 		r.setLeavingLocked()
 	}
