member: a departure doesn't replace those of the node's earlier starts

A server that deregistered before its node had read the log took the departures of the node's earlier start out of the join record.

The own record is read before the first append and merged with what is new.

Evidence: TestDeparturesInJoinRecord has the case; of the record before only the new departure was left.

--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -43,8 +43,10 @@
 	health         health
 	knownAddresses knownAddresses
 	checking       map[string]bool
-	// departures are those of this node's join record.
+	// departures are those of this node's join record. departuresRead reports whether the
+	// log has been read, so that those of an earlier start are among them.
 	departures     []*pb.Departure
+	departuresRead bool
 	flushScheduled bool
 	started        bool
 	closed         bool
--- a/internal/member/logcalls_test.go
+++ b/internal/member/logcalls_test.go
@@ -158,6 +158,25 @@
 			}
 			c.crash(other)
 		})
+		Convey("A departure that comes before the log was read doesn't replace those of the earlier start", t, func() {
+			n := c.start("a03", "a03:1", "region0")
+			So(n.list.RecordDepartures(context.Background(), departures), ShouldBeNil)
+			time.Sleep(time.Minute)
+			c.crash(n)
+			n = c.start("a03", "a03:1", "region0")
+			second := []*pb.Departure{{ServerId: "s-2", StartedUnixMs: 7, DepartedUnixMs: 11}}
+			So(n.list.RecordDepartures(context.Background(), second), ShouldBeNil)
+			c.crash(n)
+			restored := make(chan []*pb.Departure, 10)
+			c.onDepartures = func(_ string, d []*pb.Departure) { restored <- d }
+			c.start("a03", "a03:1", "region0")
+			time.Sleep(10 * time.Second)
+			So(restored, ShouldNotBeEmpty)
+			list := <-restored
+			So(list, ShouldHaveLength, 2)
+			So(list[0].GetServerId(), ShouldEqual, "s-1")
+			So(list[1].GetServerId(), ShouldEqual, "s-2")
+		})
 		Convey("A failed append is reported", t, func() {
 			n := c.start("a02", "a02:1", "region0")
 			c.log.setDown(true)
--- a/internal/member/memberstream.go
+++ b/internal/member/memberstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -124,6 +125,7 @@
 		return
 	}
 	l.health.lastLog = now
+	l.departuresRead = true
 	l.knownAddresses.expire(now)
 	if l.noReachableMember() {
 		for range min(joinFanout, len(l.unreachedAddresses())) {
@@ -237,23 +239,63 @@
 	if len(join.GetDepartures()) == 0 || join.Member.Instance != own.Instance || join.Member.Incarnation == own.Incarnation {
 		return false
 	}
-	if l.departures == nil {
-		l.departures = join.GetDepartures()
-	}
+	l.departures = mergeDepartures(join.GetDepartures(), l.departures)
 	return l.opts.OnDepartures != nil
 }
 
-// RecordDepartures appends this node's join record with the departures of its backend
-// servers, which replace those of before. It returns when that is done, or when ctx ends.
+// RecordDepartures appends this node's join record with departures of its backend servers,
+// in addition to those of earlier starts of the node. It returns when that is done, or when
+// ctx ends.
 func (l *List) RecordDepartures(ctx context.Context, departures []*pb.Departure) error {
+	if l.opts.Log == nil {
+		return nil
+	}
+	if err := l.readDepartures(ctx); err != nil {
+		return err
+	}
 	l.mu.Lock()
-	l.departures = departures
-	own := l.own().Member
+	l.departures = mergeDepartures(l.departures, departures)
+	own, merged := l.own().Member, l.departures
 	l.mu.Unlock()
-	if l.opts.Log == nil {
+	return l.appendJoin(ctx, own, merged)
+}
+
+// readDepartures reads the departures of an earlier start of the node from a keyed log,
+// unless the log has been read already: an append would replace them.
+func (l *List) readDepartures(ctx context.Context) error {
+	keyed, ok := l.opts.Log.(platformlog.KeyedLog)
+	l.mu.Lock()
+	wasRead := l.departuresRead
+	l.mu.Unlock()
+	if !ok || wasRead {
 		return nil
 	}
-	return l.appendJoin(ctx, own, departures)
+	f := &logFollower{l: l}
+	if err := f.readNewest(ctx, keyed); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.departuresRead = true
+	return nil
+}
+
+// maxDepartures is the number of departures in a join record.
+const maxDepartures = 8
+
+// mergeDepartures returns the latest departures of two lists, those of the second one last.
+func mergeDepartures(earlier, later []*pb.Departure) []*pb.Departure {
+	var merged []*pb.Departure
+	for _, d := range earlier {
+		isRepeated := slices.ContainsFunc(later, func(other *pb.Departure) bool {
+			return other.GetServerId() == d.GetServerId() && other.GetStartedUnixMs() == d.GetStartedUnixMs()
+		})
+		if !isRepeated {
+			merged = append(merged, d)
+		}
+	}
+	merged = append(merged, later...)
+	return merged[max(0, len(merged)-maxDepartures):]
 }
 
 // appendJoin appends a join record.
