entry: a request id goes to the server as the caller sent it, or the request is refused

Ids of up to 1,024 printable ASCII characters are sent on; another one is refused with 400, bad_request, which says what was expected. The test of malformed ids used 200 characters for an id that is too long; it uses one more than the limit now.

--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -34,7 +34,9 @@
 func (x *exchange) prepare() *wire.Answer {
 	x.startTime = pipeline.ArrivedAt(x.r)
 	x.expectsContinue = len(x.r.Header["Expect"]) > 0
-	x.setRequestID()
+	if err := x.setRequestID(); err != nil {
+		return errorAnswer(err)
+	}
 	x.waitUntilStarted()
 	routes := x.handler.routes.Load()
 	if routes == nil {
@@ -115,11 +117,19 @@
 	return wire.ErrorAnswer(typed.Kind, message)
 }
 
-func (x *exchange) setRequestID() {
-	x.requestID = firstValue(x.r.Header[x.handler.options.Headers.RequestID])
-	if !wire.ValidRequestID(x.requestID) {
-		x.requestID = x.handler.ids.Request()
+// setRequestID sets the id to the caller's, or to a new one if the caller sent none.
+func (x *exchange) setRequestID() error {
+	name := x.handler.options.Headers.RequestID
+	id := firstValue(x.r.Header[name])
+	if wire.ValidRequestID(id) {
+		x.requestID = id
+		return nil
+	}
+	x.requestID = x.handler.ids.Request()
+	if id == "" {
+		return nil
 	}
+	return errkind.New(pb.ErrorKind_ERROR_KIND_BAD_REQUEST, "%s has %d bytes, expected at most %d printable ASCII characters without spaces", name, len(id), wire.MaxRequestIDBytes)
 }
 
 func firstValue(values []string) string {
--- a/internal/entry/request_routes_test.go
+++ b/internal/entry/request_routes_test.go
@@ -1,8 +1,10 @@
 package entry_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"github.com/egretfield/egretfield/internal/entry"
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/wire"
 )
 
 // routesConfig returns a configuration with request routes by host and prefix.
@@ -84,6 +87,33 @@
 	})
 }
 
+// Guards against requests that reach servers under ids that no caller sent (UNASKED).
+func TestRequestIDs(t *testing.T) {
+	Convey("Given a backend server", t, func() {
+		received := make(chan string, 1)
+		server := &countingServer{answer: func(_ http.ResponseWriter, r *http.Request) { received <- r.Header.Get(wire.HeaderRequestID) }}
+		c := newCluster(nil, server)
+		defer c.close()
+		for _, length := range []int{1, 129, 1024} {
+			Convey(fmt.Sprintf("an id of %d bytes is sent on as it came, and comes back", length), func() {
+				id := strings.Repeat("i", length)
+				resp, _ := c.do(http.MethodPost, "/svc/orders/x", "", wire.HeaderRequestID, id)
+				So(resp.StatusCode, ShouldEqual, http.StatusOK)
+				So(<-received, ShouldEqual, id)
+				So(resp.Header.Get(wire.HeaderRequestID), ShouldEqual, id)
+			})
+		}
+		for _, id := range []string{strings.Repeat("i", 1025), "a b", "\u00e9"} {
+			Convey(fmt.Sprintf("an id of %d bytes that can't be used is refused and not run: %.5q", len(id), id), func() {
+				resp, body := c.do(http.MethodPost, "/svc/orders/x", "", wire.HeaderRequestID, id)
+				So(resp.StatusCode, ShouldEqual, http.StatusBadRequest)
+				So(body, ShouldContainSubstring, "expected at most 1024 printable ASCII characters without spaces")
+				So(server.runs.Load(), ShouldEqual, 0)
+			})
+		}
+	})
+}
+
 // Guards against orders of a removed route that ran, and ran twice after a lost answer, at
 // the service whose name was the route's host (TWICE).
 func TestRemovedRouteSelectsNoService(t *testing.T) {
--- a/internal/wire/attempt.go
+++ b/internal/wire/attempt.go
@@ -82,12 +82,13 @@
 	return string(buf)
 }
 
-const maxRequestIDBytes = 128
+// MaxRequestIDBytes is the maximum length of a request id.
+const MaxRequestIDBytes = 1 << 10
 
 // ValidRequestID reports whether a request id chosen by a caller can be used: it has at
-// most maxRequestIDBytes of printable ASCII characters without spaces.
+// most MaxRequestIDBytes of printable ASCII characters without spaces.
 func ValidRequestID(id string) bool {
-	if id == "" || len(id) > maxRequestIDBytes {
+	if id == "" || len(id) > MaxRequestIDBytes {
 		return false
 	}
 	for i := range len(id) {
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -45,7 +45,7 @@
 		ids := NewIDs()
 		So(ids.Request(), ShouldNotEqual, ids.Request())
 		So(ValidRequestID(ids.Request()), ShouldBeTrue)
-		for _, bad := range []string{"", "a b", "a\n", strings.Repeat("x", 200)} {
+		for _, bad := range []string{"", "a b", "a\n", strings.Repeat("x", MaxRequestIDBytes+1)} {
 			So(ValidRequestID(bad), ShouldBeFalse)
 		}
 	})
