entry: on a route with a timeout, an answer ends by then

Cause: the deadline covered the first byte of an answer only; behind it each part of the body had 20 s.

On request routes with a timeout the last byte must have arrived by the deadline. The answer is then cut visibly, or answered with 504 if nothing was written yet.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -234,6 +234,9 @@
 	}
 	load := answer.Load
 	answer = wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_ANSWER_CUT, "the backend server's answer ended before its declared length")
+	if !time.Now().Before(x.call.Deadline) {
+		answer = wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DEADLINE_AFTER_SEND, "the deadline passed before the answer was complete")
+	}
 	answer.Load = load
 	return answer
 }
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -236,6 +236,9 @@
 	if by := x.handler.stopBy.Load(); by != nil && by.Before(x.call.Deadline) {
 		x.call.Deadline = *by
 	}
+	if x.route.timeout > 0 {
+		x.call.AnswerBy = x.call.Deadline
+	}
 	x.call.Target = x.call.Deadline
 	if x.route.target > 0 {
 		x.call.Target = x.startTime.Add(min(timeout, x.route.target))
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/wire"
@@ -45,9 +46,14 @@
 	kept.Body = append(kept.Body, data...)
 }
 
-// handleBroken ends the run after the connection broke in the middle of the answer.
+// handleBroken ends the run after the connection broke in the middle of the answer, or the
+// answer took too long.
 func (b *answerBody) handleBroken() {
 	b.ended = true
+	if by := b.run.call.AnswerBy; !by.IsZero() && !time.Now().Before(by) {
+		b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, runResult{failed: true})
+		return
+	}
 	b.run.gate.handleBrokenConnection(context.Background(), b.run.server, b.run.call.Fingerprint)
 	b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, runResult{failed: true})
 }
--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -108,7 +108,7 @@
 		return 0, io.EOF
 	}
 	if b.x.conn.reader.Buffered() == 0 {
-		deadline := time.Now().Add(b.x.client.options.ProgressTimeout)
+		deadline := b.x.bodyDeadline()
 		if err := b.x.conn.SetReadDeadline(deadline); err != nil {
 			return 0, err
 		}
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -50,6 +50,9 @@
 	Body     io.Reader
 	// BodyBytes is the length of the body, or -1 if unknown.
 	BodyBytes int64
+	// AnswerBy is when the last byte of the answer must have arrived; zero: an answer that
+	// has begun may take any time. It isn't sent between nodes.
+	AnswerBy time.Time
 }
 
 // Streams reports whether the body is sent as a stream.
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -260,7 +260,7 @@
 func (x *exchange) answer(resp *http.Response) (*Answer, error) {
 	if resp.ContentLength < 0 {
 		// One read of a chunked body may need several reads of the connection.
-		if err := x.conn.SetReadDeadline(time.Now().Add(x.client.options.ProgressTimeout)); err != nil {
+		if err := x.conn.SetReadDeadline(x.bodyDeadline()); err != nil {
 			return nil, eris.Wrap(err, "set deadline")
 		}
 		if x.conn.aborted.Load() {
@@ -292,6 +292,15 @@
 	return answer, nil
 }
 
+// bodyDeadline returns when the next byte of the answer's body must have arrived.
+func (x *exchange) bodyDeadline() time.Time {
+	progress := time.Now().Add(x.client.options.ProgressTimeout)
+	if by := x.params.Call.AnswerBy; !by.IsZero() {
+		return earlier(by, progress)
+	}
+	return progress
+}
+
 // readGateHeaders reads the headers that a gate adds to its answers.
 func (x *exchange) readGateHeaders(answer *Answer) error {
 	header := answer.Header
