announce: the deregistration of a second start under one id is recorded, too

A deregistration without a start time was taken for a repetition of an earlier one of the same id, so the join record lacked it and a restart of the node forgot it.

It counts as recorded only if it is that of the latest server. The record holds sixteen entries, as one deregistration may take two.

Evidence: TestDeparturesAfterRestart got 1 call of the recorder instead of 2.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -71,8 +71,9 @@
 }
 
 // OnDeparture sets the function that records the latest departures, oldest first, where a
-// later start of the node finds them. It must keep those of earlier starts. It is called before a deregistration that isn't
-// recorded yet is acknowledged. Call OnDeparture before the receiver is used.
+// later start of the node finds them. The function must keep those of earlier starts. It
+// is called before a deregistration that isn't recorded yet is acknowledged. Call
+// OnDeparture before the receiver is used.
 func (r *Receiver) OnDeparture(record func([]*pb.Departure)) { r.onDeparture = record }
 
 // Handler serves POST /announce (a JSON Announcement) and DELETE /announce (the
--- a/internal/announce/ended.go
+++ b/internal/announce/ended.go
@@ -10,8 +10,9 @@
 const (
 	// maxEnded is the number of deregistered starts that are remembered.
 	maxEnded = 64
-	// maxDepartures is the number of them that are recorded outside of the process.
-	maxDepartures = 8
+	// maxDepartures is the number of them that are recorded outside of the process. A
+	// deregistration without a start time may take two.
+	maxDepartures = 16
 	// maxLateness is how late a statement may arrive. A deregistration without a start
 	// time holds for that long.
 	maxLateness = 30 * time.Second
--- a/internal/announce/statement.go
+++ b/internal/announce/statement.go
@@ -132,14 +132,23 @@
 func (r *Receiver) deregister(now time.Time, s Statement) (verdict Verdict, departures []*pb.Departure) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	isNew := !r.ended.has(s.ID, s.StartedUnixMs)
+	isRecorded := r.isRecorded(s)
 	verdict = r.deregisterLocked(now, s)
-	if isNew {
+	if !isRecorded {
 		departures = r.ended.departures()
 	}
 	return verdict, departures
 }
 
+// isRecorded reports whether the start that a deregistration means is known to have
+// deregistered. Without a start time that is so only for the latest server.
+func (r *Receiver) isRecorded(s Statement) bool {
+	if s.StartedUnixMs == 0 {
+		return r.position.isSameStart(s) && r.ended.has(s.ID, r.position.startedUnixMs)
+	}
+	return r.ended.has(s.ID, s.StartedUnixMs)
+}
+
 func (r *Receiver) deregisterLocked(now time.Time, s Statement) Verdict {
 	r.ended.add(now, s.ID, s.StartedUnixMs)
 	if !r.position.isSameStart(s) {
--- a/internal/announce/statement_test.go
+++ b/internal/announce/statement_test.go
@@ -240,6 +240,15 @@
 			So(recorded, ShouldHaveLength, maxDepartures)
 			So(recorded[maxDepartures-1].GetServerId(), ShouldEqual, fmt.Sprint(3*maxDepartures-1))
 		})
+		Convey("that of a second start under the same id is recorded", func() {
+			second := start.Add(time.Minute)
+			before.HandleStatement(second, newStatement("a", second.UnixMilli(), 1))
+			before.HandleStatement(second.Add(time.Second), Statement{ID: "a", Gone: true})
+			So(calls, ShouldEqual, 2)
+			after := NewReceiver(func(Change) {})
+			after.Restore(second.Add(2*time.Second), recorded)
+			So(after.HandleStatement(second.Add(2*time.Second), newStatement("a", second.UnixMilli(), 1)), ShouldEqual, VerdictStale)
+		})
 		Convey("its next start believes no late statement", func() {
 			var last Change
 			after := NewReceiver(func(c Change) { last = c })
--- a/internal/entry/target.go
+++ b/internal/entry/target.go
@@ -71,7 +71,7 @@
 	if isDigit(c) {
 		return c - '0'
 	}
-	return c | 0x20 - 'a' + 10
+	return (c | 0x20) - 'a' + 10
 }
 
 func upper(c byte) byte {
--- a/internal/member/memberstream.go
+++ b/internal/member/memberstream.go
@@ -281,7 +281,7 @@
 }
 
 // maxDepartures is the number of departures in a join record.
-const maxDepartures = 8
+const maxDepartures = 16
 
 // mergeDepartures returns the latest departures of two lists, those of the second one last.
 func mergeDepartures(earlier, later []*pb.Departure) []*pb.Departure {
