--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/egretfield/egretfield/internal/pb"
@@ -34,8 +35,26 @@
 	Tried []string
 	// BodyBytes is the length of the request body, or -1 if unknown.
 	BodyBytes int64
+	// Regions are the regions in which the request may be handled.
+	Regions RegionFilter
 }
 
+// RegionFilter restricts a request to regions. The zero value allows all.
+type RegionFilter struct {
+	// Route and Organisation are the regions allowed by the request's route and by its
+	// caller's organisation; an empty list allows all. Read-only.
+	Route, Organisation []string
+}
+
+// Allows reports whether a request may be handled in the region.
+func (f RegionFilter) Allows(region string) bool {
+	return (len(f.Route) == 0 || slices.Contains(f.Route, region)) &&
+		(len(f.Organisation) == 0 || slices.Contains(f.Organisation, region))
+}
+
+// IsRestricted reports whether any region may be excluded.
+func (f RegionFilter) IsRestricted() bool { return len(f.Route) > 0 || len(f.Organisation) > 0 }
+
 // Outcome is the result of an attempt.
 type Outcome int
 
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -33,6 +33,8 @@
 	// Caller is the name of the calling service: that of the backend server next to the
 	// node that accepted the request.
 	Caller string
+	// Organisation is the name of the caller's organisation; empty if it has none.
+	Organisation string
 }
 
 // Call is one attempt of a request. Functions that receive a Call don't modify it.
@@ -104,7 +106,7 @@
 	return &Answer{Kind: kind, Message: message}
 }
 
-const metaFields = 9
+const metaFields = 10
 
 // appendMeta appends the value of HeaderCall to buf. Both times are relative to the start of
 // the exchange.
@@ -125,7 +127,9 @@
 	buf = append(buf, ' ')
 	buf = append(buf, encodeName(m.Caller)...)
 	buf = append(buf, ' ')
-	return append(buf, encodeName(m.Route)...)
+	buf = append(buf, encodeName(m.Route)...)
+	buf = append(buf, ' ')
+	return append(buf, encodeName(m.Organisation)...)
 }
 
 // emptyName represents an empty name in HeaderCall: the fields are separated by spaces,
@@ -200,5 +204,7 @@
 		Target:      now.Add(time.Duration(untilTargetMs) * time.Millisecond),
 		Caller:      decodeName(fields[7]),
 		Route:       decodeName(fields[8]),
+
+		Organisation: decodeName(fields[9]),
 	}, fields[0] != ""
 }
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -145,6 +145,9 @@
 	if names.Caller != "" {
 		buf = appendField(buf, names.Caller, call.Caller)
 	}
+	if names.Organisation != "" && call.Organisation != "" {
+		buf = appendField(buf, names.Organisation, call.Organisation)
+	}
 	if names.TargetServer != "" && x.client.options.ServerID != "" {
 		buf = appendField(buf, names.TargetServer, x.client.options.ServerID)
 	}
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -48,6 +48,12 @@
 	// HeaderIdempotencyKey names an operation that must run at most once.
 	HeaderIdempotencyKey = "Idempotency-Key"
 
+	// HeaderOrganisation is the name of the caller's organisation, for backend servers.
+	HeaderOrganisation = "Egret-Organisation"
+	// HeaderColdTime is the time in milliseconds for which a backend server stays cold, in
+	// the answers of its health endpoint.
+	HeaderColdTime = "Egret-Cold-Ms"
+
 	internalPrefix = "Egret-"
 )
 
@@ -81,19 +87,28 @@
 	RateLimit string
 	// Leaving marks the answers of a backend server that takes no new work.
 	Leaving string
+	// Organisation is the name of the organisation whose API key the caller sent. Only the
+	// system sets it.
+	Organisation string
+	// ColdTime is the time in milliseconds for which a backend server stays cold, in the
+	// answers of its health endpoint.
+	ColdTime string
 	// EchoesRequestID reports whether backend servers repeat RequestID on their answers.
 	EchoesRequestID bool
 }
 
 // DefaultHeaders returns the header names of egretfield's own interface.
 func DefaultHeaders() *Headers {
-	return &Headers{RequestID: HeaderRequestID, Timeout: HeaderTimeout, Depth: HeaderDepth}
+	return &Headers{
+		RequestID: HeaderRequestID, Timeout: HeaderTimeout, Depth: HeaderDepth,
+		Organisation: HeaderOrganisation, ColdTime: HeaderColdTime,
+	}
 }
 
 // Strip removes the headers that the system sets itself from the header of a caller's
 // request.
 func (h *Headers) Strip(header http.Header) {
-	for _, name := range [...]string{h.RequestID, h.Timeout, h.Depth, h.Caller, h.TargetServer} {
+	for _, name := range [...]string{h.RequestID, h.Timeout, h.Depth, h.Caller, h.TargetServer, h.Organisation} {
 		delete(header, name)
 	}
 }
