balance: selections stay in the allowed regions of a request

Cause: PickInfo.Regions was ignored, so spillover, retries and offers could take a request to any region. Change: Pick, Local, Remote and Take return endpoints of allowed regions only, otherwise an error of kind no_server.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,7 +7,6 @@
 package balance
 
 import (
-	"slices"
 	"time"
 
 	"github.com/egretfield/egretfield/internal/pb"
@@ -39,22 +38,6 @@
 	Regions RegionFilter
 }
 
-// RegionFilter restricts a request to regions. The zero value allows all.
-type RegionFilter struct {
-	// Route and Organisation are the regions allowed by the request's route and by its
-	// caller's organisation; an empty list allows all. Read-only.
-	Route, Organisation []string
-}
-
-// Allows reports whether a request may be handled in the region.
-func (f RegionFilter) Allows(region string) bool {
-	return (len(f.Route) == 0 || slices.Contains(f.Route, region)) &&
-		(len(f.Organisation) == 0 || slices.Contains(f.Organisation, region))
-}
-
-// IsRestricted reports whether any region may be excluded.
-func (f RegionFilter) IsRestricted() bool { return len(f.Route) > 0 || len(f.Organisation) > 0 }
-
 // Outcome is the result of an attempt.
 type Outcome int
 
@@ -96,7 +79,8 @@
 	// Update replaces the endpoints and the service's policy, but not the balancing
 	// policy, which stays that of the balancer.
 	Update(endpoints []*Endpoint, policy *pb.Policy)
-	// Pick selects an endpoint. Its error has the errkind NO_SERVER or REGION_BUDGET.
+	// Pick selects an endpoint in an allowed region. Its error has the errkind NO_SERVER
+	// or REGION_BUDGET.
 	// Every successful Pick must be followed by exactly one Done.
 	Pick(info PickInfo) (*Endpoint, error)
 	// Done reports the end of an attempt.
--- a/internal/balance/offers.go
+++ b/internal/balance/offers.go
@@ -31,9 +31,9 @@
 // the speed of servers changes within milliseconds, older load reports are wrong.
 type Placer interface {
 	// Local returns up to limit endpoints of the own region to ask for offers, those of
-	// the own data centre first.
+	// the own data centre first; none if the own region isn't allowed.
 	Local(info PickInfo, limit int) []*Endpoint
-	// Remote returns up to limit endpoints of other regions to ask for offers.
+	// Remote returns up to limit endpoints of other allowed regions to ask for offers.
 	Remote(info PickInfo, limit int) []*Endpoint
 	// RemoteRoundTrip returns the mean round-trip time of an offer question to another
 	// region; zero if unknown.
@@ -101,7 +101,7 @@
 // has just joined, is moved up: otherwise idle servers nearby would keep it from being
 // asked, and it would add no capacity.
 func (p *pool) shortlist(endpoints []*endpointState, info PickInfo, limit int) []*Endpoint {
-	candidates := newCandidates(timeNow(), endpoints, info.Tried)
+	candidates := newCandidates(timeNow(), endpoints, info)
 	var ownDataCentre, otherDataCentres []*Endpoint
 	for _, s := range endpoints {
 		switch {
@@ -249,7 +249,10 @@
 	if s == nil {
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_NO_SERVER, "the backend server is no longer in the fleet")
 	}
-	if s.remote && !p.spillover.charge(info.BodyBytes) {
+	if !info.Regions.Allows(s.endpoint.Region) {
+		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_NO_SERVER, "region %q isn't allowed for the request", s.endpoint.Region)
+	}
+	if s.remote && !p.chargeRemote(info) {
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_REGION_BUDGET, "the byte budget for other regions is exhausted")
 	}
 	return p.take(s), nil
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -132,7 +132,7 @@
 	if len(snap.endpoints) == 0 {
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_NO_SERVER, "no backend server of the service is known")
 	}
-	local := newCandidates(now, snap.local, info.Tried)
+	local := newCandidates(now, snap.local, info)
 	attempts := len(info.Tried)
 	leaveRegion := local.count == 0 || (len(snap.remote) > 0 && p.shouldLeaveRegion(attempts))
 	if leaveRegion {
@@ -152,18 +152,30 @@
 	return p.spillover.shouldLeave(attempts)
 }
 
-// pickRemote picks an endpoint of another region, within the byte budget.
+// pickRemote picks an endpoint of another region, within the byte budget unless the own
+// region isn't allowed.
 func (p *pool) pickRemote(now time.Time, snap *snapshot, info PickInfo) (*Endpoint, error) {
-	remote := newCandidates(now, snap.remote, info.Tried)
+	remote := newCandidates(now, snap.remote, info)
 	if remote.count == 0 {
-		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_NO_SERVER, "no untried backend server is left")
+		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_NO_SERVER, "no untried backend server is left in the allowed regions")
 	}
-	if !p.spillover.charge(info.BodyBytes) {
+	if !p.chargeRemote(info) {
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_REGION_BUDGET, "the byte budget for other regions is exhausted")
 	}
 	return p.take(p.chooser.choose(now, snap, &remote)), nil
 }
 
+// chargeRemote takes the expected bytes of a request to another region from the byte
+// budget and reports whether the request may be sent there. A request that isn't allowed
+// in the own region is counted but never refused: it can't be placed here.
+func (p *pool) chargeRemote(info PickInfo) bool {
+	if !info.Regions.Allows(p.options.Region) {
+		p.spillover.chargeUnconditionally(info.BodyBytes)
+		return true
+	}
+	return p.spillover.charge(info.BodyBytes)
+}
+
 // take records a pick.
 func (p *pool) take(s *endpointState) *Endpoint {
 	s.inFlight.Add(1)
@@ -210,11 +222,12 @@
 	}
 }
 
-// candidates are the endpoints that a request may go to: those not tried yet, without
-// the ejected ones unless only ejected ones are left.
+// candidates are the endpoints that a request may go to: those in allowed regions not
+// tried yet, without the ejected ones unless only ejected ones are left.
 type candidates struct {
 	endpoints []*endpointState
 	tried     []string
+	regions   RegionFilter
 	now       time.Time
 	// includeEjected is set if only ejected endpoints are left.
 	includeEjected bool
@@ -222,11 +235,11 @@
 }
 
 // newCandidates counts the eligible endpoints without copying them.
-func newCandidates(now time.Time, endpoints []*endpointState, tried []string) candidates {
-	c := candidates{endpoints: endpoints, tried: tried, now: now}
+func newCandidates(now time.Time, endpoints []*endpointState, info PickInfo) candidates {
+	c := candidates{endpoints: endpoints, tried: info.Tried, regions: info.Regions, now: now}
 	untried := 0
 	for _, s := range endpoints {
-		if slices.Contains(tried, s.endpoint.Instance) {
+		if !c.usable(s) {
 			continue
 		}
 		untried++
@@ -241,9 +254,15 @@
 	return c
 }
 
+// usable reports whether an endpoint, ejected or not, is in an allowed region and hasn't
+// been tried.
+func (c *candidates) usable(s *endpointState) bool {
+	return !slices.Contains(c.tried, s.endpoint.Instance) && c.regions.Allows(s.endpoint.Region)
+}
+
 // eligible reports whether an endpoint is among the candidates.
 func (c *candidates) eligible(s *endpointState) bool {
-	if slices.Contains(c.tried, s.endpoint.Instance) {
+	if !c.usable(s) {
 		return false
 	}
 	return c.includeEjected || !s.ejectionState.ejected(c.now)
@@ -262,9 +281,9 @@
 		skip--
 	}
 	// The set shrank in the meantime because an ejection began or ended. Return any
-	// untried endpoint.
+	// usable endpoint.
 	for _, s := range c.endpoints {
-		if !slices.Contains(c.tried, s.endpoint.Instance) {
+		if c.usable(s) {
 			return s
 		}
 	}
--- a/internal/balance/spillover.go
+++ b/internal/balance/spillover.go
@@ -129,6 +129,17 @@
 	return cost > 0 && budget.AllowN(timeNow(), int(cost))
 }
 
+// chargeUnconditionally takes the expected bytes of a request from the budget, even if
+// that leaves less than nothing. The debt stays below about two bursts, so that other
+// requests may leave the region again soon after such requests have ended.
+func (s *spillover) chargeUnconditionally(bodyBytes int64) {
+	budget, now := s.budget.Load(), timeNow()
+	cost := min(max(bodyBytes, 0)+assumedRequestBytes, int64(budget.Burst()))
+	if cost > 0 && budget.TokensAt(now) > -float64(budget.Burst()) {
+		budget.ReserveN(now, int(cost))
+	}
+}
+
 // settle takes the bytes that an attempt used beyond assumedRequestBytes from the
 // budget.
 func (s *spillover) settle(bytes int64) {
