gate: refuse requests that a newer configuration doesn't allow in the region

Cause: a request that waits in a gate's queue while a configuration narrows its regions was started there, and so was one from an entry that hasn't received that configuration yet. Change: a gate checks route and organisation of a call against the allowed regions of its configuration, on arrival and again before it starts, and refuses with region_not_allowed (not run). Entries state the version of the configuration by which they chose the gate; a gate with an older one doesn't refuse, because it may not know of a wider list yet. The kind is retryable: an entry may place the request in another region.

--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -59,6 +59,11 @@
 	return rules
 }
 
+// AtVersion returns the rules with another version.
+func (r *RegionRules) AtVersion(version int64) *RegionRules {
+	return &RegionRules{version: version, routes: r.routes, organisations: r.organisations}
+}
+
 // Version returns the version of the configuration; zero if unknown.
 func (r *RegionRules) Version() int64 { return r.version }
 
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -80,7 +80,7 @@
 	pb.ErrorKind_ERROR_KIND_TIMEOUT:             {"timeout", http.StatusGatewayTimeout, runUnknown, false, 0, 40},
 	pb.ErrorKind_ERROR_KIND_KEY_INVALID:         {"key_invalid", http.StatusBadRequest, runNo, false, 0, 41},
 	pb.ErrorKind_ERROR_KIND_OVER_QUOTA:          {"over_quota", http.StatusTooManyRequests, runNo, false, time.Second, 42},
-	pb.ErrorKind_ERROR_KIND_REGION_NOT_ALLOWED:  {"region_not_allowed", http.StatusServiceUnavailable, runNo, false, time.Second, 43},
+	pb.ErrorKind_ERROR_KIND_REGION_NOT_ALLOWED:  {"region_not_allowed", http.StatusServiceUnavailable, runNo, true, time.Second, 43},
 }
 
 // Of returns the properties of kind. An unknown kind has those of the kind internal.
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -33,6 +33,9 @@
 	if refusal != nil {
 		return refusal
 	}
+	if !g.allowsRegion(call) {
+		return regionRefusal()
+	}
 	if kind := g.attempts.begin(call.Attempt); kind != 0 {
 		return wire.ErrorAnswer(kind, "the attempt came too late")
 	}
@@ -53,6 +56,11 @@
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "the backend server was replaced")
 	}
+	if !g.allowsRegion(call) {
+		g.limiter.releaseUnused()
+		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
+		return regionRefusal()
+	}
 	r := &run{gate: g, server: server, call: call, startedAt: time.Now(), slowdownFactor: g.limiter.slowdownFactor()}
 	server.crash.requestStarted(call.Fingerprint)
 	return r.do(ctx)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/quarantine"
@@ -35,7 +36,9 @@
 
 // Options are the fixed settings of a Gate.
 type Options struct {
-	Instance    string
+	Instance string
+	// Region is the region of the instance.
+	Region      string
 	Incarnation uint64
 	// Quarantine refuses the fingerprints of requests that crash backend servers;
 	// may be nil.
@@ -88,6 +91,9 @@
 	attempts *attempts
 	server   atomic.Pointer[backendServer]
 	draining atomic.Bool
+	// regionRules are the allowed regions of the current configuration; nil: no
+	// configuration yet.
+	regionRules atomic.Pointer[balance.RegionRules]
 	// stopDeadline is when the node stops and every request must have ended; nil:
 	// the node isn't stopping.
 	stopDeadline atomic.Pointer[time.Time]
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -35,6 +35,9 @@
 	Caller string
 	// Organisation is the name of the caller's organisation; empty if it has none.
 	Organisation string
+	// ConfigVersion is the version of the configuration by which the entry chose the
+	// gate; zero if unknown. A gate with an older one doesn't judge the entry's choice.
+	ConfigVersion int64
 }
 
 // Call is one attempt of a request. Functions that receive a Call don't modify it.
@@ -106,7 +109,7 @@
 	return &Answer{Kind: kind, Message: message}
 }
 
-const metaFields = 10
+const metaFields = 11
 
 // appendMeta appends the value of HeaderCall to buf. Both times are relative to the start of
 // the exchange.
@@ -125,6 +128,8 @@
 	buf = append(buf, ' ')
 	buf = strconv.AppendInt(buf, untilTargetMs, 10)
 	buf = append(buf, ' ')
+	buf = strconv.AppendInt(buf, m.ConfigVersion, 10)
+	buf = append(buf, ' ')
 	buf = append(buf, encodeName(m.Caller)...)
 	buf = append(buf, ' ')
 	buf = append(buf, encodeName(m.Route)...)
@@ -191,7 +196,8 @@
 	depth, errDepth := strconv.ParseUint(fields[4], 10, 16)
 	fingerprint, errFingerprint := strconv.ParseUint(fields[5], 16, 64)
 	untilTargetMs, errTarget := strconv.ParseInt(fields[6], 10, 32)
-	if errTarget != nil || errTimeout != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
+	configVersion, errVersion := strconv.ParseInt(fields[7], 10, 64)
+	if errVersion != nil || errTarget != nil || errTimeout != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
 		return Meta{}, false
 	}
 	return Meta{
@@ -202,9 +208,10 @@
 		Depth:       int(depth),
 		Fingerprint: fingerprint,
 		Target:      now.Add(time.Duration(untilTargetMs) * time.Millisecond),
-		Caller:      decodeName(fields[7]),
-		Route:       decodeName(fields[8]),
+		Caller:      decodeName(fields[8]),
+		Route:       decodeName(fields[9]),
 
-		Organisation: decodeName(fields[9]),
+		Organisation:  decodeName(fields[10]),
+		ConfigVersion: configVersion,
 	}, fields[0] != ""
 }
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -25,6 +25,7 @@
 			Attempt: id, RequestID: "r", Service: "s", Class: pb.Class_CLASS_CRITICAL, Idempotent: true,
 			Depth: 3, Deadline: now.Add(1500 * time.Millisecond), Fingerprint: 1 << 63,
 			Target: now.Add(400 * time.Millisecond), Route: "r-1", Caller: "web",
+			Organisation: "acme", ConfigVersion: 1<<40 + 7,
 		}
 		header := http.Header{
 			HeaderAttempt: {id.String()}, HeaderRequestID: {"r"}, HeaderCall: {string(appendMeta(nil, &meta, 1500, 400))},
