entry: requests stay in the allowed regions of their route and organisation

Cause: allowed_regions of routes and organisations had no effect. Change: every selection gets the regions that the current configuration allows, so offers, spillover and retries stay inside; gates of other regions are asked at once where the own region isn't allowed. A selected endpoint is checked once more before it is sent to, since a configuration may have come while gates were asked. Without a server in the allowed regions, or without a common region of route and organisation, the request is refused with region_not_allowed. A region whose gate refuses by a newer configuration isn't tried again. The answer of a restricted request with a key isn't stored, since keepers hand their keys over to nodes of any region. The call of refuseWithoutRegion in prepare has no test that fails without it, because no request has an organisation yet; the function itself has one.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -43,7 +43,11 @@
 	maxBodyBytes    int64
 	firstSend       bool // the caller states that it never sent the key before
 	reservedBytes   int64
-	prefetchBuffer  *[]byte // holds a prefetched answer
+	// regionsAtArrival are the allowed regions when the request arrived.
+	regionsAtArrival *balance.RegionRules
+	// refusedRegions are the regions whose gates don't allow the request there.
+	refusedRegions []string
+	prefetchBuffer *[]byte // holds a prefetched answer
 
 	balancer balance.Balancer
 	// placedByOffer reports whether an offer decided where the last attempt went.
@@ -184,9 +188,13 @@
 	}
 	endpoint, err := x.chooseEndpoint(ctx)
 	if err != nil {
-		return nil, err
+		return nil, x.regionError(err)
 	}
 	x.pending = balance.Result{Endpoint: endpoint, Outcome: balance.OutcomeCancelled}
+	if err := x.confirmRegion(endpoint); err != nil {
+		x.reportAttempt()
+		return nil, err
+	}
 	if last != nil && isRetryableRefusal(last) && !last.ConnectionLost && slices.Contains(x.tried, endpoint.Instance) {
 		// All other backend servers were tried and this one has already refused.
 		x.reportAttempt()
@@ -252,7 +260,7 @@
 			return balance.OutcomeFailure
 		}
 		return balance.OutcomeSuccess
-	case pb.ErrorKind_ERROR_KIND_CANCELLED, pb.ErrorKind_ERROR_KIND_DEADLINE_BEFORE_RUN:
+	case pb.ErrorKind_ERROR_KIND_CANCELLED, pb.ErrorKind_ERROR_KIND_DEADLINE_BEFORE_RUN, pb.ErrorKind_ERROR_KIND_REGION_NOT_ALLOWED:
 		return balance.OutcomeCancelled
 	}
 	if answer.Load == nil && errkind.Of(answer.Kind).Run == pb.RunState_RUN_STATE_NO {
@@ -309,6 +317,9 @@
 // on another backend server. Refusals because of load take from the retry budget, and
 // so do those of requests that had reached a backend server.
 func (x *exchange) shouldRetryRefusal(answer *wire.Answer) bool {
+	if answer.Kind == pb.ErrorKind_ERROR_KIND_REGION_NOT_ALLOWED {
+		x.excludeRegion()
+	}
 	if answer.ReachedServer {
 		return x.attempts < maxRefusals && x.service.state.budget.Take()
 	}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -83,6 +83,10 @@
 		return
 	}
 	completed := once.Outcome{State: pb.RunState_RUN_STATE_YES, Answer: stored}
+	if x.regionFilter().IsRestricted() {
+		// Keepers hand their keys over to nodes of any region.
+		completed.Answer = nil
+	}
 	if stored != nil {
 		x.reportOutcomeAndWait(key, grant, completed)
 		reported = true
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -47,7 +47,7 @@
 // chooseEndpoint returns the endpoint of the next attempt. Without any offer the
 // balancer decides from its own load data.
 func (x *exchange) chooseEndpoint(ctx context.Context) (*balance.Endpoint, error) {
-	info := balance.PickInfo{Class: x.call.Class, Tried: x.tried, BodyBytes: x.call.BodyBytes}
+	info := x.pickInfo()
 	x.placedByOffer = false
 	placer := x.balancer.Placer()
 	if placer == nil || x.handler.options.Offers == nil {
@@ -61,7 +61,7 @@
 		offers = append(offers, x.askGates(ctx, local[firstCount:], ownRegionWaitLimits)...)
 		best = placer.Best(offers, time.Until(x.call.Target))
 	}
-	if x.shouldAskOtherRegions(placer, best) {
+	if !info.Regions.Allows(x.handler.options.Region) || x.shouldAskOtherRegions(placer, best) {
 		offers = append(offers, x.askGates(ctx, placer.Remote(info, maxOtherRegionGates), otherRegionWaitLimits)...)
 		best = placer.Best(offers, time.Until(x.call.Target))
 	}
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -67,6 +67,10 @@
 	if err := x.validate(routes); err != nil {
 		return errorAnswer(err)
 	}
+	x.regionsAtArrival = routes.regions
+	if refusal := x.refuseWithoutRegion(); refusal != nil {
+		return refusal
+	}
 	if !x.call.Idempotent {
 		if err := pipeline.AwaitTurn(x.r); err != nil {
 			return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_CANCELLED, err.Error())
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/retry"
 )
@@ -28,6 +29,7 @@
 	requestRoutesOnly bool
 	maxDepth          int
 	limits            callerLimits
+	regions           *balance.RegionRules
 }
 
 // match is the service and route that a request was matched to.
@@ -83,6 +85,7 @@
 // NewRoutes builds a snapshot from a configuration and the preset of that name.
 func NewRoutes(config *pb.Config, preset string) *Routes {
 	routes := &Routes{
+		regions:        balance.NewRegionRules(config, 0),
 		services:       make(map[string]*service),
 		servicesByHost: make(map[string]*service),
 		maxDepth:       int(config.GetMaxCallDepth()),
@@ -105,6 +108,13 @@
 	return routes
 }
 
+// AtVersion sets the version of the configuration, by which gates tell whether they have
+// a newer one than the entry.
+func (routes *Routes) AtVersion(version int64) *Routes {
+	routes.regions = routes.regions.AtVersion(version)
+	return routes
+}
+
 // policyFor returns a service's policy in a preset; it may be nil.
 func policyFor(config *pb.Config, preset, service string) *pb.Policy {
 	for _, p := range config.GetPresets() {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -168,6 +168,7 @@
 	n.quarantineTable = quarantine.New(n.members, n.logger.Named("quarantine"))
 	n.gate = gate.New(gate.Options{
 		Instance:        n.settings.GetInstance(),
+		Region:          n.settings.GetRegion(),
 		Incarnation:     n.members.Self().GetIncarnation(),
 		Quarantine:      n.quarantineTable,
 		Meter:           meter,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/egretfield/egretfield/internal/announce"
+	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/budget"
 	"github.com/egretfield/egretfield/internal/config"
 	"github.com/egretfield/egretfield/internal/configlog"
@@ -252,9 +253,10 @@
 // apply puts a configuration in force on this node.
 func (n *Node) apply(state *pb.ConfigState) {
 	n.refresh()
-	n.entry.SetRoutes(entry.NewRoutes(state.GetConfig(), state.GetPreset()))
+	n.entry.SetRoutes(entry.NewRoutes(state.GetConfig(), state.GetPreset()).AtVersion(state.GetVersion()))
 	n.limiter.SetLimits(budget.LimitsOf(config.BudgetOf(state)))
 	n.configureGate(state, n.members.Self().GetService())
+	n.gate.SetRegionRules(balance.NewRegionRules(state.GetConfig(), state.GetVersion()))
 	n.drain.setDrainedByOperator(isDraining(state, n.settings.GetInstance()))
 }
 
--- a/internal/once/keeper/table.go
+++ b/internal/once/keeper/table.go
@@ -265,7 +265,7 @@
 
 func replayOf(e *entry) Result {
 	if e.answer == nil {
-		return refuse(pb.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, "the operation ran; its answer was too large to keep")
+		return refuse(pb.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, "the operation ran; its answer was not kept: too large, or restricted to some regions")
 	}
 	return Result{Verdict: replay, Answer: e.answer}
 }
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -51,7 +51,7 @@
 type Outcome struct {
 	State pb.RunState
 	// Answer is set when State is RUN_STATE_YES. It is nil if the answer was
-	// too large to keep.
+	// too large to keep or may not leave some regions.
 	Answer *pb.StoredAnswer
 }
 
