gate: no repeat on a new connection in a region that isn't allowed any more

Cause: an idempotent request on a silent connection to the backend server is sent once more after at least 3 s; a configuration may have narrowed its regions by then. Change: the allowed regions are checked before the repeat; without it the answer is server_failed, unknown. Result: go test -race -count=3 ./internal/gate passes; without the check TestNoRepeatOutsideAllowedRegions fails (the request is repeated).

--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -85,7 +85,8 @@
 
 func (r *run) do(ctx context.Context) *wire.Answer {
 	answer, err := r.send(ctx, false)
-	if err != nil && isSilentConnection(err) && r.call.Idempotent && !r.call.Streams() && r.gate.limiter.takeRepeat() {
+	if err != nil && isSilentConnection(err) && r.call.Idempotent && !r.call.Streams() &&
+		r.gate.allowsRegion(r.call) && r.gate.limiter.takeRepeat() {
 		r.gate.counters.silentConnections.Add(1)
 		answer, err = r.send(ctx, true)
 	}
--- a/internal/gate/regions_test.go
+++ b/internal/gate/regions_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,3 +70,33 @@
 		})
 	})
 }
+
+// TestNoRepeatOutsideAllowedRegions guards against a request that is sent to the backend
+// server once more, after a silent connection, when its region is no longer allowed.
+func TestNoRepeatOutsideAllowedRegions(t *testing.T) {
+	Convey("A request on a silent connection isn't repeated once its region isn't allowed", t, func() {
+		var g *Gate
+		var runs atomic.Int64
+		restricted := balance.NewRegionRules(&pb.Config{RequestRoutes: []*pb.RequestRoute{{Name: "r", AllowedRegions: []string{"south"}}}}, 1)
+		g, server := newTestGate(nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if runs.Add(1) == 2 {
+				g.SetRegionRules(restricted)
+				<-r.Context().Done()
+				return
+			}
+			_, _ = io.WriteString(w, "ok")
+		}))
+		defer server.Close()
+		g.options.Region, g.minSilence = "north", 20*time.Millisecond
+		do := func() *wire.Answer {
+			call := newTestCall("/")
+			call.Route = "r"
+			return g.Do(context.Background(), call)
+		}
+		first := do()
+		So(first.Kind, ShouldEqual, 0)
+		_, _ = io.ReadAll(first.Body)
+		So(do().Kind, ShouldEqual, pb.ErrorKind_ERROR_KIND_SERVER_FAILED)
+		So(runs.Load(), ShouldEqual, 2)
+	})
+}
