admission: limit of the starts at a server that may be cold

Cause: a cold server breaks down above a low request rate, may become cold at any moment, and tells it by its heartbeat and its health endpoint only. Change: ColdLimit counts the starts of the last second exactly. Up to the cold rate they need no answer; above it, a bounded number follows each answer that says the server is warm, so the bound holds if it became cold right after it. Queue applies the limit beside the slots, to offers too, and lets requests wait at most 50 ms for it, or until their target can no longer be met. Result: go test -race ./internal/admission passes; TestColdBoundOverRandomHistories runs 100 histories. Without the count of starts since the answer it fails in the first one, with 31 requests within a second where 30 are allowed; without the bound on the wait TestQueueAtColdServer fails.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -57,8 +57,13 @@
 	waiting  bool
 	// latest is the time until which the request waits.
 	latest time.Time
+	// started is when the request got a slot.
+	started time.Time
 }
 
+// Started returns the time at which a request that waited got its slot.
+func (t *Ticket) Started() time.Time { return t.started }
+
 // LatestStart returns the time until which the request may wait: the last one at which
 // it can start and still be answered before its deadline, or an earlier one while the
 // server's rate is limited. A request that waits until then is refused.
@@ -81,7 +86,9 @@
 // takes, and orders the requests that wait. It isn't safe for concurrent use.
 type Queue struct {
 	// Rate is the request rate that the server takes.
-	Rate         RateLimit
+	Rate RateLimit
+	// Cold limits the starts while the server is cold, or may be.
+	Cold         ColdLimit
 	limit        int
 	capacity     int
 	meanHoldTime time.Duration
@@ -113,7 +120,7 @@
 // Admit decides on a request that arrives. It returns the ticket of a request that
 // waits, and the ticket that was evicted to make room for it, if any.
 func (q *Queue) Admit(now time.Time, r Request) (verdict Verdict, ticket, evicted *Ticket) {
-	if q.running < q.limit && len(q.waiting) == 0 && !r.isFasterAfterSlowdown(now, q.slowdown) && q.Rate.Take(now) {
+	if q.running < q.limit && len(q.waiting) == 0 && !r.isFasterAfterSlowdown(now, q.slowdown) && q.TakeStart(now) {
 		q.running++
 		return Granted, nil, nil
 	}
@@ -139,9 +146,38 @@
 	if limit := now.Add(maxQueueTimeAtRate); q.Rate.limited && limit.Before(t.latest) {
 		t.latest = limit
 	}
+	if q.Cold.Wait(now, 0) > 0 {
+		q.limitWait(now, t)
+	}
 	return t
 }
 
+// limitWait limits the time for which a request waits at a server that is cold or may be:
+// another server may still meet its target.
+func (q *Queue) limitWait(now time.Time, t *Ticket) {
+	if limit := now.Add(maxQueueTimeAtRate); limit.Before(t.latest) {
+		t.latest = limit
+	}
+	if last := t.Target.Add(-t.ServiceTime); last.After(now) && last.Before(t.latest) {
+		t.latest = last
+	}
+}
+
+// TakeStart takes the allowance for sending one request to the server. It reports whether
+// there was one.
+func (q *Queue) TakeStart(now time.Time) bool {
+	if q.Rate.Wait(now, 0) > 0 || !q.Cold.Take(now) {
+		return false
+	}
+	return q.Rate.Take(now)
+}
+
+// StartWait returns the time until the server's rates allow the start of a request with
+// that many others ahead of it.
+func (q *Queue) StartWait(now time.Time, ahead int) time.Duration {
+	return max(q.Rate.Wait(now, ahead), q.Cold.Wait(now, ahead))
+}
+
 // QueueEstimate is what a request can expect from the queue and the server.
 type QueueEstimate struct {
 	// Refused: the request would be refused.
@@ -163,7 +199,7 @@
 	if estimate.Wait < q.slowdown.Remaining {
 		estimate.ServiceTime = time.Duration(float64(r.ServiceTime) * q.slowdown.Factor)
 	}
-	mustQueue := q.running >= q.limit || len(q.waiting) > 0 || r.isFasterAfterSlowdown(now, q.slowdown) || q.Rate.Wait(now, 0) > 0
+	mustQueue := q.running >= q.limit || len(q.waiting) > 0 || r.isFasterAfterSlowdown(now, q.slowdown) || q.StartWait(now, 0) > 0
 	estimate.AtOnce = !mustQueue && q.slowdown.Factor <= 1
 	estimate.Refused = mustQueue && (!q.canStartInTime(now, t) || !q.hasCapacity(now, t))
 	return estimate
@@ -196,7 +232,7 @@
 			ahead++
 		}
 	}
-	wait := max(q.expectedWaitBehind(ahead), q.Rate.Wait(now, ahead))
+	wait := max(q.expectedWaitBehind(ahead), q.StartWait(now, ahead))
 	if t.isFasterAfterSlowdown(now, q.slowdown) {
 		wait = max(wait, q.slowdown.Remaining)
 	}
@@ -216,7 +252,7 @@
 // ExpectedWait returns the expected wait of one more request behind all that wait
 // now.
 func (q *Queue) ExpectedWait(now time.Time) time.Duration {
-	return max(q.expectedWaitBehind(len(q.waiting)), q.Rate.Wait(now, len(q.waiting)))
+	return max(q.expectedWaitBehind(len(q.waiting)), q.StartWait(now, len(q.waiting)))
 }
 
 // before reports whether a goes before b: first by class, then requests that can
@@ -282,10 +318,11 @@
 		return nil
 	}
 	t := q.nextEligible(now)
-	if t == nil || !q.Rate.Take(now) {
+	if t == nil || !q.TakeStart(now) {
 		return nil
 	}
 	q.remove(t)
+	t.started = now
 	q.running++
 	return t
 }
@@ -294,7 +331,11 @@
 // start.
 func (q *Queue) RemoveExpired(now time.Time) []*Ticket {
 	var expired []*Ticket
+	isCold := q.Cold.IsCold(now)
 	for _, t := range q.waiting {
+		if isCold {
+			q.limitWait(now, t) // it may have begun to wait at a warm server
+		}
 		if now.After(t.latest) {
 			expired = append(expired, t)
 		}
