Cold servers: gates keep their rate, also when servers become cold again

Cause: nothing used cold_ms, cold_requests_per_s or the remaining cold time. A heartbeat that differed only in that time didn't reach the gate, or made it forget the server's notices. Heartbeats reach the gate with each repetition. Requests sent once more take an allowance, 421 gives its own back.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/egretfield/egretfield/internal/pb"
 )
@@ -49,6 +48,9 @@
 	onChange func(Change)
 	// onDeparture records departures outside of the process; may be nil.
 	onDeparture func([]*pb.Departure)
+	// onHeartbeat is called with each announcement in force, repeated ones included; may
+	// be nil.
+	onHeartbeat func(*pb.Announcement)
 	// departureMu keeps the calls of onDeparture in the order of the deregistrations.
 	departureMu sync.Mutex
 
@@ -76,6 +78,11 @@
 // OnDeparture before the receiver is used.
 func (r *Receiver) OnDeparture(record func([]*pb.Departure)) { r.onDeparture = record }
 
+// OnHeartbeat sets a function that is called with each announcement that is in force,
+// repeated ones included, after the call for a change that it makes, one call at a time.
+// Call OnHeartbeat before the receiver is used.
+func (r *Receiver) OnHeartbeat(f func(*pb.Announcement)) { r.onHeartbeat = f }
+
 // Handler serves POST /announce (a JSON Announcement) and DELETE /announce (the
 // backend server is leaving).
 func (r *Receiver) Handler() http.Handler {
@@ -169,11 +176,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastHeard = now
-	if !r.current.Leaving && proto.Equal(r.current.Server, next.Server) {
-		return
-	}
-	r.current = next
-	r.onChange(next)
+	r.setCurrent(next)
 }
 
 // expire removes an announcement that wasn't repeated within Lifetime.
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/standin/virtualtime"
 )
 
@@ -41,6 +42,15 @@
 				}
 				So(len(changes), ShouldEqual, 0)
 			})
+			Convey("another remaining warm-up time is not a change, but reaches the function for heartbeats", func() {
+				var left []uint32
+				r.OnHeartbeat(func(server *pb.Announcement) { left = append(left, server.GetWarmupLeftMs()) })
+				for _, ms := range []string{"3000", "1500", "1500", "0"} {
+					sendRequest(r, http.MethodPost, strings.Replace(validAnnouncement, "}", `,"warmup_left_ms":`+ms+"}", 1))
+				}
+				So(len(changes), ShouldEqual, 0)
+				So(left, ShouldResemble, []uint32{3000, 1500, 1500, 0})
+			})
 			Convey("an announcement that isn't repeated expires, with a single change", func() {
 				time.Sleep(3 * Lifetime)
 				synctest.Wait()
--- a/internal/announce/statement.go
+++ b/internal/announce/statement.go
@@ -114,6 +114,9 @@
 		r.current = next
 		r.onChange(next)
 	}
+	if r.onHeartbeat != nil && next.Server != nil {
+		r.onHeartbeat(next.Server)
+	}
 }
 
 // handleDeregistration records that a server is gone, whether or not the node knows it.
@@ -197,7 +200,8 @@
 	}
 	a, b := c.Server, other.Server
 	return a.GetServerId() == b.GetServerId() && a.GetService() == b.GetService() &&
-		a.GetAddress() == b.GetAddress() && a.GetSlots() == b.GetSlots() && a.GetConnections() == b.GetConnections()
+		a.GetAddress() == b.GetAddress() && a.GetSlots() == b.GetSlots() && a.GetConnections() == b.GetConnections() &&
+		a.GetHealthPath() == b.GetHealthPath()
 }
 
 // SetLeaving records that the backend server with the given ID, if it is the current
--- a/internal/announce/statement_test.go
+++ b/internal/announce/statement_test.go
@@ -28,6 +28,16 @@
 		So(r.HandleStatement(now, newStatement("a", 100, 1)), ShouldEqual, VerdictStale)
 		So(r.HandleStatement(now, newStatement("a", 100, 3)), ShouldEqual, VerdictAccepted)
 		So(changes, ShouldHaveLength, 1)
+		Convey("a server that becomes cold again is heard, though nothing else changes", func() {
+			var left []uint32
+			r.OnHeartbeat(func(server *pb.Announcement) { left = append(left, server.GetWarmupLeftMs()) })
+			cold := newStatement("a", 100, 4)
+			cold.Server.WarmupLeftMs = 3000
+			So(r.HandleStatement(now, cold), ShouldEqual, VerdictAccepted)
+			So(r.HandleStatement(now, cold), ShouldEqual, VerdictStale)
+			So(changes, ShouldHaveLength, 1)
+			So(left, ShouldResemble, []uint32{3000})
+		})
 		Convey("a leaving server remains leaving when an older statement arrives late", func() {
 			leaving := newStatement("a", 100, 5)
 			leaving.Leaving = true
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/egretfield/egretfield/internal/balance"
@@ -48,12 +50,24 @@
 // HealthPathOf returns the path of the health endpoint of a service, or "" if it has
 // none.
 func HealthPathOf(config *pb.Config, service string) string {
+	return findService(config, service).GetHealthPath()
+}
+
+// ColdServersOf returns how long a server of a service is cold after its start, and the
+// requests a second that it takes then; zero: no limit.
+func ColdServersOf(config *pb.Config, service string) (coldTime time.Duration, requestsPerS float64) {
+	s := findService(config, service)
+	return time.Duration(s.GetColdMs()) * time.Millisecond, s.GetColdRequestsPerS()
+}
+
+// findService returns the service with the given name, or nil.
+func findService(config *pb.Config, name string) *pb.Service {
 	for _, s := range config.GetServices() {
-		if s.GetName() == service {
-			return s.GetHealthPath()
+		if s.GetName() == name {
+			return s
 		}
 	}
-	return ""
+	return nil
 }
 
 func fillPolicy(policy *pb.Policy) {
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -19,6 +19,7 @@
 	maxQueuePercent          = 1000
 	maxCrossRegionBytesPerS  = 500_000_000 // a link of 4 Gbit/s
 	maxWarmupMs              = 600_000
+	maxColdRequestsPerS      = 10_000 // a gate remembers the starts of a second
 	maxMeasuringBytesPerS    = 25_000 // per node
 	maxMeasuringMessagesPerS = 10_000 // per node
 	minKeeperLeaseS          = 5
@@ -68,6 +69,7 @@
 	for i, service := range services {
 		path := fmt.Sprintf("services[%d]", i)
 		c.checkHosts(path, service, names, hosts)
+		c.checkColdServers(path, service)
 		c.checkRoutes(path, service.GetRoutes())
 	}
 	return names
@@ -86,6 +88,13 @@
 	}
 }
 
+func (c *checker) checkColdServers(path string, service *pb.Service) {
+	c.checkMax(path+".cold_ms", uint64(service.GetColdMs()), maxWarmupMs, "ms")
+	if rate := service.GetColdRequestsPerS(); !(rate >= 0 && rate <= maxColdRequestsPerS) {
+		c.addf(path+".cold_requests_per_s", "got %g, expected 0 to %d requests a second", rate, maxColdRequestsPerS)
+	}
+}
+
 func (c *checker) checkRoutes(path string, routes []*pb.Route) {
 	for i, route := range routes {
 		at := fmt.Sprintf("%s.routes[%d]", path, i)
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -172,6 +172,7 @@
 func (g *Gate) handleReannouncement(server *backendServer) {
 	server.notices.reset()
 	g.limiter.resetRate(server.prober.headers.RateLimit != "")
+	g.askIfCold(server)
 	if server.client.AllIdleClosed(server.Address) {
 		g.reportCrash(server)
 	}
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -41,7 +41,9 @@
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DRAINING, "the backend server is leaving")
 	}
-	if kind := g.limiter.acquire(ctx, slotRequestOf(call)); kind != 0 {
+	g.askIfCold(server)
+	startedAt, kind := g.limiter.acquire(ctx, slotRequestOf(call))
+	if kind != 0 {
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		refusal := wire.ErrorAnswer(kind, "the request wasn't given a slot")
 		refusal.RetryAfter = g.limiter.retryAfter()
@@ -49,11 +51,11 @@
 		return refusal
 	}
 	if current := g.server.Load(); current != server {
-		g.limiter.releaseUnused()
+		g.limiter.releaseUnused(startedAt)
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "the backend server was replaced")
 	}
-	r := &run{gate: g, server: server, call: call, startedAt: time.Now(), slowdownFactor: g.limiter.slowdownFactor()}
+	r := &run{gate: g, server: server, call: call, admittedAt: startedAt, startedAt: time.Now(), slowdownFactor: g.limiter.slowdownFactor()}
 	server.crash.requestStarted(call.Fingerprint)
 	return r.do(ctx)
 }
@@ -69,6 +71,8 @@
 	server    *backendServer
 	call      *wire.Call
 	startedAt time.Time
+	// admittedAt is when the limiter allowed the latest sending of the call.
+	admittedAt time.Time
 	// slowdownFactor is the server's slowdown factor when the run started.
 	slowdownFactor float64
 	// kept is the copy of the answer for queries of the attempt; nil: none is kept.
@@ -77,9 +81,12 @@
 
 func (r *run) do(ctx context.Context) *wire.Answer {
 	answer, err := r.send(ctx, false)
-	if err != nil && isSilentConnection(err) && r.call.Idempotent && !r.call.Streams() && r.gate.limiter.takeRepeat() {
-		r.gate.counters.silentConnections.Add(1)
-		answer, err = r.send(ctx, true)
+	if err != nil && isSilentConnection(err) && r.call.Idempotent && !r.call.Streams() {
+		if startedAt, ok := r.gate.limiter.takeRepeat(); ok {
+			r.admittedAt = startedAt
+			r.gate.counters.silentConnections.Add(1)
+			answer, err = r.send(ctx, true)
+		}
 	}
 	if err != nil {
 		return r.failed(ctx, err)
@@ -111,6 +118,7 @@
 	r.end(pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil, runResult{failed: true})
 	refusal := wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_OVERLOADED, "the backend server didn't run the request")
 	if answer.Misdirected {
+		r.gate.limiter.undoStart(r.admittedAt)
 		refusal = wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "another backend server has the address")
 	} else {
 		r.gate.counters.shed.Add(1)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -56,6 +56,12 @@
 	// AllowProbe reports whether a probe of the backend server's health endpoint
 	// fits the budget for measuring load; nil: it always does.
 	AllowProbe func() bool
+	// AllowUrgentProbe is AllowProbe for a probe without which a warm server would be
+	// taken for a cold one; nil: it always fits.
+	AllowUrgentProbe func() bool
+	// AwaitColdBounds makes the gate refuse requests until SetColdBounds has been called,
+	// since a cold server might not take them.
+	AwaitColdBounds bool
 	// ClientOptions overrides the limits of the connections to the backend server.
 	ClientOptions wire.ClientOptions
 	// MaxAttemptRecords bounds the number of attempts whose state is kept; 0:
@@ -98,6 +104,8 @@
 	minSilence time.Duration
 	// healthPath is the path of the backend server's health endpoint.
 	healthPath atomic.Pointer[string]
+	// cold is the state of the cold limit that is known outside of the limiter.
+	cold coldState
 	// watchingDelayed: a goroutine starts the requests that wait although a slot is
 	// free.
 	watchingDelayed atomic.Bool
@@ -141,6 +149,7 @@
 		next := &backendServer{Server: *server, client: wire.NewClient(options), prober: newHealthProber(options.Headers)}
 		g.server.Store(next)
 		g.limiter.configure(effectiveSlots(server), next.prober.headers.RateLimit != "")
+		g.askIfCold(next)
 	}
 	if old == nil {
 		return
@@ -236,6 +245,8 @@
 		return nil, wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DRAINING, "the instance stops before the request would end")
 	case server == nil:
 		return nil, wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "no backend server has announced itself")
+	case g.options.AwaitColdBounds && !g.cold.boundsKnown.Load():
+		return nil, wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "the instance has no configuration yet")
 	case server.Service != call.Service:
 		return nil, wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "the instance serves another service")
 	case !time.Now().Before(call.Deadline):
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -5,9 +5,11 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/egretfield/egretfield/internal/wire"
 )
@@ -29,6 +31,10 @@
 	// slowdownProbeInterval is the time between probes while requests wait for the
 	// end of a slowdown.
 	slowdownProbeInterval = 20 * time.Millisecond
+	// maxProbesPerS is the number of probes in a second of a server that may become cold;
+	// up to probeBurst of them may follow each other without a pause.
+	maxProbesPerS = 60
+	probeBurst    = 10
 	// maxHealthBytes bounds the body of a health endpoint's answer.
 	maxHealthBytes = 4 << 10
 )
@@ -41,13 +47,25 @@
 	slowness uint32
 	// notice is the server's notice; nil: none.
 	notice *wire.ServerNotice
+	// coldFor is the time for which the server stays cold, if it tells that.
+	coldFor   time.Duration
+	tellsCold bool
 }
 
 // healthProber reads a server's state from its health endpoint. Safe for concurrent
 // use.
 type healthProber struct {
-	client  http.Client
-	headers *wire.Headers
+	client http.Client
+	// coldClient is for the questions whether the server is cold, whose time limit is
+	// longer, so that they don't hold up the others.
+	coldClient http.Client
+	headers    *wire.Headers
+	// limiter bounds the probes of a server that may become cold.
+	limiter *rate.Limiter
+	// askingCold: a question whether the server is cold is in flight.
+	askingCold atomic.Bool
+	// coldPausedUntil is the end of the pause after a failed question, in Unix nanoseconds.
+	coldPausedUntil atomic.Int64
 
 	mu sync.Mutex
 	// inFlight is closed when the probe in flight ends; nil: none is.
@@ -61,13 +79,19 @@
 		headers = wire.DefaultHeaders()
 	}
 	return &healthProber{
-		headers: headers,
-		client: http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 1,
-			MaxConnsPerHost:     1,
-			IdleConnTimeout:     wire.DefaultIdleTimeout,
-			DisableCompression:  true,
-		}},
+		headers:    headers,
+		client:     http.Client{Transport: newProbeTransport()},
+		coldClient: http.Client{Transport: newProbeTransport()},
+		limiter:    rate.NewLimiter(maxProbesPerS-probeBurst, probeBurst),
+	}
+}
+
+func newProbeTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 1,
+		MaxConnsPerHost:     1,
+		IdleConnTimeout:     wire.DefaultIdleTimeout,
+		DisableCompression:  true,
 	}
 }
 
@@ -93,7 +117,7 @@
 	}
 	p.inFlight = make(chan struct{})
 	p.mu.Unlock()
-	report, err := p.get(ctx, url)
+	report, err := p.get(ctx, &p.client, url, probeTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	close(p.inFlight)
@@ -104,15 +128,15 @@
 	return report, err
 }
 
-func (p *healthProber) get(ctx context.Context, url string) (*healthReport, error) {
+func (p *healthProber) get(ctx context.Context, client *http.Client, url string, timeout time.Duration) (*healthReport, error) {
 	report := &healthReport{askedAt: time.Now()}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
-	answer, err := p.client.Do(request)
+	answer, err := client.Do(request)
 	if err != nil {
 		return nil, err
 	}
@@ -122,11 +146,15 @@
 	}
 	report.slowness = wire.ParseServerLoad(answer.Header.Get(p.headers.Load)).GetSlownessPercent()
 	report.notice = wire.ParseServerNotice(p.headers, answer.Header)
+	report.coldFor, report.tellsCold = wire.ParseColdTime(p.headers, answer.Header)
 	return report, nil
 }
 
-// close closes the idle connection to the health endpoint.
-func (p *healthProber) close() { p.client.CloseIdleConnections() }
+// close closes the idle connections to the health endpoint.
+func (p *healthProber) close() {
+	p.client.CloseIdleConnections()
+	p.coldClient.CloseIdleConnections()
+}
 
 // SetHealthPath sets the path of the backend server's health endpoint; empty: it
 // has none.
@@ -139,6 +167,9 @@
 	if path == nil || *path == "" || !server.prober.reportsState() || !g.limiter.needsReport(maxAge) {
 		return
 	}
+	if g.cold.enabled.Load() && !server.prober.limiter.Allow() {
+		return
+	}
 	if allow := g.options.AllowProbe; allow != nil && !allow() {
 		return
 	}
@@ -150,6 +181,12 @@
 	if report == nil {
 		return
 	}
+	g.recordHealth(server, report)
+}
+
+// recordHealth records an answer of the server's health endpoint.
+func (g *Gate) recordHealth(server *backendServer, report *healthReport) {
+	g.recordColdTime(server, report)
 	g.recordNotice(server, report.askedAt, report.notice, noticeFromHealth)
 	if report.slowness > 0 {
 		g.counters.probes.Add(1)
@@ -167,8 +204,11 @@
 	go func() {
 		for wait, rateLimited := g.limiter.delay(); wait > 0; wait, rateLimited = g.limiter.delay() {
 			time.Sleep(wait)
-			if server := g.server.Load(); server != nil && !rateLimited {
-				g.refreshState(context.Background(), server, slowdownProbeInterval/2)
+			if server := g.server.Load(); server != nil {
+				g.askIfCold(server)
+				if !rateLimited {
+					g.refreshState(context.Background(), server, slowdownProbeInterval/2)
+				}
 			}
 			g.limiter.grant()
 		}
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -37,6 +37,9 @@
 	resolutions map[*admission.Ticket]chan errkind.Kind
 	slowdowns   admission.SlowdownTracker
 	failureRate float64 // moving average, 0 to 1
+	// coldRefusals counts the refusals of requests for which a slot was free, but not the
+	// rate that a cold server takes.
+	coldRefusals coldRefusals
 	// unconfirmed is set until the first answer of a server that may name a rate
 	// limit.
 	unconfirmed bool
@@ -74,6 +77,7 @@
 func (l *limiter) resetRateLocked(mayLimit bool) {
 	l.unconfirmed = mayLimit
 	l.queue.Rate = admission.RateLimit{}
+	l.queue.Cold.Reset(time.Now())
 	l.setLimitsLocked()
 }
 
@@ -127,11 +131,12 @@
 }
 
 // takeRepeat takes the allowance for sending a request to the server once more. It
-// reports whether there was one.
-func (l *limiter) takeRepeat() bool {
+// returns the time of that start, and whether there was an allowance.
+func (l *limiter) takeRepeat() (startedAt time.Time, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.queue.Rate.Take(time.Now())
+	now := time.Now()
+	return now, l.queue.TakeStart(now)
 }
 
 func (l *limiter) setQueuePercent(percent int) {
@@ -173,7 +178,7 @@
 	if l.queue.Delayed() == 0 {
 		return 0, false
 	}
-	if wait := l.queue.Rate.Wait(time.Now(), 0); wait > 0 {
+	if wait := l.queue.StartWait(time.Now(), 0); wait > 0 {
 		return min(wait, maxRateAge), true
 	}
 	return slowdownProbeInterval, false
@@ -196,21 +201,22 @@
 }
 
 // acquire takes a slot, waiting in the queue as long as the request can still be
-// answered before its deadline. It returns 0, or the kind of the refusal.
-func (l *limiter) acquire(ctx context.Context, s slotRequest) errkind.Kind {
-	ticket, resolution, kind := l.admit(s)
+// answered before its deadline. It returns the time at which it got the slot and 0, or
+// the kind of the refusal.
+func (l *limiter) acquire(ctx context.Context, s slotRequest) (startedAt time.Time, kind errkind.Kind) {
+	ticket, resolution, at, kind := l.admit(s)
 	if ticket == nil {
-		return kind
+		return at, kind
 	}
-	timer := time.NewTimer(time.Until(ticket.LatestStart()))
+	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
 	select {
 	case kind = <-resolution:
-		return kind
+		return ticket.Started(), kind
 	case <-ctx.Done():
-		return l.abandon(ticket, resolution, pb.ErrorKind_ERROR_KIND_CANCELLED)
+		return time.Time{}, l.abandon(ticket, resolution, pb.ErrorKind_ERROR_KIND_CANCELLED)
 	case <-timer.C:
-		return l.abandon(ticket, resolution, expiredKind(s.deadline))
+		return time.Time{}, l.abandon(ticket, resolution, expiredKind(s.deadline))
 	}
 }
 
@@ -233,26 +239,41 @@
 }
 
 // admit grants a slot at once, queues the request or refuses it. For a request that
-// is queued it returns the ticket and the channel of its resolution.
-func (l *limiter) admit(s slotRequest) (*admission.Ticket, chan errkind.Kind, errkind.Kind) {
+// is queued it returns the ticket, the channel of its resolution and the time until which
+// it may wait, for one that starts the time of that.
+func (l *limiter) admit(s slotRequest) (ticket *admission.Ticket, resolution chan errkind.Kind, at time.Time, kind errkind.Kind) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.queue.SetMeanHoldTime(l.serviceTimes.MeanHoldTime())
 	l.queue.SetSlowdown(l.slowdowns.Now(now))
-	verdict, ticket, evicted := l.queue.Admit(now, l.requestLocked(s))
+	verdict, queued, evicted := l.queue.Admit(now, l.requestLocked(s))
 	if evicted != nil {
 		l.resolveLocked(evicted, pb.ErrorKind_ERROR_KIND_OVERLOADED)
 	}
 	switch verdict {
 	case admission.Granted:
-		return nil, nil, 0
+		return nil, nil, now, 0
 	case admission.Refused:
-		return nil, nil, pb.ErrorKind_ERROR_KIND_OVERLOADED
+		l.countColdRefusalLocked(now)
+		return nil, nil, time.Time{}, pb.ErrorKind_ERROR_KIND_OVERLOADED
 	}
-	l.resolutions[ticket] = make(chan errkind.Kind, 1)
+	l.resolutions[queued] = make(chan errkind.Kind, 1)
 	l.notifyDelayedLocked()
-	return ticket, l.resolutions[ticket], 0
+	return queued, l.resolutions[queued], queued.LatestStart(), 0
+}
+
+// countColdRefusalLocked counts the refusal of a request that the server could have
+// started if it was warm.
+func (l *limiter) countColdRefusalLocked(now time.Time) {
+	if l.queue.Running() >= l.queue.Limit() || l.queue.Cold.Wait(now, 0) == 0 {
+		return
+	}
+	if l.queue.Cold.IsCold(now) {
+		l.coldRefusals.cold++
+	} else {
+		l.coldRefusals.unknown++
+	}
 }
 
 // requestLocked returns the queue's form of a slot request.
@@ -282,20 +303,27 @@
 	defer l.mu.Unlock()
 	if l.queue.Cancel(ticket) {
 		delete(l.resolutions, ticket)
+		if kind == pb.ErrorKind_ERROR_KIND_OVERLOADED {
+			l.countColdRefusalLocked(time.Now())
+		}
 		l.signalIdleLocked()
 		return kind
 	}
 	if <-resolution == 0 {
-		l.queue.Release()
-		l.grantLocked()
+		l.releaseUnusedLocked(ticket.Started())
 	}
 	return kind
 }
 
-// releaseUnused releases a slot that no request ran in.
-func (l *limiter) releaseUnused() {
+// releaseUnused releases a slot, granted at startedAt, that no request ran in.
+func (l *limiter) releaseUnused(startedAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.releaseUnusedLocked(startedAt)
+}
+
+func (l *limiter) releaseUnusedLocked(startedAt time.Time) {
+	l.queue.Cold.Undo(startedAt)
 	l.queue.Release()
 	l.grantLocked()
 }
@@ -334,6 +362,7 @@
 	now := time.Now()
 	l.queue.SetSlowdown(l.slowdowns.Now(now))
 	for _, t := range l.queue.RemoveExpired(now) {
+		l.countColdRefusalLocked(now)
 		l.resolveLocked(t, expiredKind(t.Deadline))
 	}
 	for t := l.queue.Next(now); t != nil; t = l.queue.Next(now) {
--- a/internal/gate/limiter_test.go
+++ b/internal/gate/limiter_test.go
@@ -24,7 +24,10 @@
 // receives its result.
 func acquireAsync(ctx context.Context, l *limiter, class pb.Class, wait time.Duration) chan errkind.Kind {
 	result := make(chan errkind.Kind, 1)
-	go func() { result <- l.acquire(ctx, slotRequest{class: class, deadline: time.Now().Add(wait)}) }()
+	go func() {
+		_, kind := l.acquire(ctx, slotRequest{class: class, deadline: time.Now().Add(wait)})
+		result <- kind
+	}()
 	synctest.Wait()
 	return result
 }
@@ -37,7 +40,7 @@
 				l.configure(2, false)
 				ctx := context.Background()
 				for range 2 {
-					if kind := l.acquire(ctx, slotRequest{class: normal, deadline: time.Now().Add(time.Second)}); kind != 0 {
+					if _, kind := l.acquire(ctx, slotRequest{class: normal, deadline: time.Now().Add(time.Second)}); kind != 0 {
 						t.Fatalf("%s: slot refused: %v", name, kind)
 					}
 				}
@@ -49,7 +52,7 @@
 			var report pb.LoadReport
 			run("exact", func(ctx context.Context, l *limiter) {
 				a, b := acquireAsync(ctx, l, normal, time.Second), acquireAsync(ctx, l, normal, time.Second)
-				result = l.acquire(ctx, slotRequest{class: normal, deadline: time.Now().Add(time.Second)})
+				_, result = l.acquire(ctx, slotRequest{class: normal, deadline: time.Now().Add(time.Second)})
 				l.fillReport(&report)
 				l.release(runResult{})
 				l.release(runResult{})
@@ -103,7 +106,7 @@
 			run("estimate", func(ctx context.Context, l *limiter) {
 				l.serviceTimes.Add("", time.Second, 0)
 				startedAt := time.Now()
-				kind = l.acquire(ctx, slotRequest{class: normal, deadline: startedAt.Add(100 * time.Millisecond)})
+				_, kind = l.acquire(ctx, slotRequest{class: normal, deadline: startedAt.Add(100 * time.Millisecond)})
 				elapsed = time.Since(startedAt)
 			})
 			So(kind, ShouldEqual, overloaded)
@@ -146,7 +149,7 @@
 		Convey("a slot granted to a request that is being cancelled isn't lost", func() {
 			var report pb.LoadReport
 			run("race", func(_ context.Context, l *limiter) {
-				ticket, result, _ := l.admit(slotRequest{class: normal, deadline: time.Now().Add(time.Second)})
+				ticket, result, _, _ := l.admit(slotRequest{class: normal, deadline: time.Now().Add(time.Second)})
 				l.release(runResult{})
 				l.abandon(ticket, result, pb.ErrorKind_ERROR_KIND_CANCELLED)
 				l.fillReport(&report)
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -47,6 +47,9 @@
 	running, _ := meter.Int64ObservableGauge("egretfield.gate.running", metric.WithDescription("Requests that hold a slot."))
 	queued, _ := meter.Int64ObservableGauge("egretfield.gate.queued", metric.WithDescription("Requests that wait for a slot."))
 	rateLimit, _ := meter.Float64ObservableGauge("egretfield.gate.rate_limit", metric.WithDescription("Requests a second that the backend server takes; absent while it names none."))
+	cold, _ := meter.Int64ObservableGauge("egretfield.gate.cold", metric.WithDescription("1 while the backend server counts as cold, else 0; absent for a service without a cold rate."))
+	coldRefusals, _ := meter.Int64ObservableCounter("egretfield.gate.cold_refusals", metric.WithDescription("Requests refused because the backend server is cold, or hasn't said that it is warm, by state."))
+	coldQuestions, _ := meter.Int64ObservableCounter("egretfield.gate.cold_questions", metric.WithDescription("Questions whether the backend server is cold, by result."))
 	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g.observeAnswers(o, answers)
 		o.ObserveInt64(crashes, g.counters.crashes.Load())
@@ -57,12 +60,15 @@
 		if rate, limited := g.limiter.rateLimit(); limited {
 			o.ObserveFloat64(rateLimit, rate)
 		}
+		if g.cold.enabled.Load() {
+			g.observeCold(o, cold, coldRefusals, coldQuestions)
+		}
 		o.ObserveInt64(untraced, g.counters.untraced.Load())
 		report := g.Report()
 		o.ObserveInt64(running, int64(report.InFlight))
 		o.ObserveInt64(queued, int64(report.Queued))
 		return nil
-	}, answers, crashes, silentConnections, shed, probes, arrivals, rateLimit, untraced, running, queued)
+	}, answers, crashes, silentConnections, shed, probes, arrivals, rateLimit, cold, coldRefusals, coldQuestions, untraced, running, queued)
 	if err != nil {
 		g.logger.Error("gate metrics not registered", zap.Error(err))
 	}
--- a/internal/gate/offer.go
+++ b/internal/gate/offer.go
@@ -26,6 +26,7 @@
 		return offer
 	}
 	g.refreshState(ctx, server, maxReportAgeForOffer)
+	g.askIfCold(server)
 	if server.notices.hasLeftBefore() {
 		offer.Refused = true
 		return offer
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -176,7 +176,10 @@
 		OnServerDown:    n.onServerDown,
 		OnServerLeaving: func(serverID string) { n.receiver.SetLeaving(serverID) },
 		AllowProbe:      func() bool { return n.limiter.Allow(budget.ClassProbe, healthProbeBytes) },
-		ClientOptions:   wire.ClientOptions{Headers: n.headers()},
+		// A warm server that is taken for a cold one loses most of its capacity.
+		AllowUrgentProbe: func() bool { return n.limiter.Allow(budget.ClassLiveness, healthProbeBytes) },
+		AwaitColdBounds:  n.settings.GetPlatform().GetColdServers() != nil,
+		ClientOptions:    wire.ClientOptions{Headers: n.headers()},
 	})
 	n.offers = offer.New(n.sockets.offers, []byte(n.settings.GetSharedKey()), n.gate.Offer, n.limiter.AllowDatagram, n.logger.Named("offers"))
 	entryOptions := entry.Options{
@@ -202,5 +205,8 @@
 	n.drain = newDrainer(n.members, n.gate, settings.Duration(n.settings.GetDrainNotice()), n.logger.Named("drain"))
 	n.receiver = announce.NewReceiver(n.onAnnouncement)
 	n.receiver.OnDeparture(n.recordDepartures)
+	n.receiver.OnHeartbeat(func(server *pb.Announcement) {
+		n.gate.RecordHeartbeat(server.GetServerId(), time.Duration(server.GetWarmupLeftMs())*time.Millisecond)
+	})
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -16,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/egretfield/egretfield/internal/admission"
 	"github.com/egretfield/egretfield/internal/announce"
 	"github.com/egretfield/egretfield/internal/budget"
 	"github.com/egretfield/egretfield/internal/config"
@@ -177,6 +179,7 @@
 	if change.Leaving {
 		return
 	}
+	n.configureGate(n.follower.Current(), server.GetService()) // before the first request
 	n.gate.SetServer(&gate.Server{
 		Service:     server.GetService(),
 		ID:          server.GetServerId(),
@@ -213,6 +216,18 @@
 	if state != nil {
 		n.gate.SetQueuePercent(config.PolicyOf(state, service).GetQueuePercent())
 		n.gate.SetHealthPath(config.HealthPathOf(state.GetConfig(), service))
+		n.gate.SetColdBounds(n.coldBounds(state.GetConfig(), service))
+	}
+}
+
+// coldBounds returns the limits of a service's servers while they are cold.
+func (n *Node) coldBounds(c *pb.Config, service string) admission.ColdBounds {
+	coldTime, perSecond := config.ColdServersOf(c, service)
+	settings := n.settings.GetPlatform().GetColdServers()
+	return admission.ColdBounds{
+		PerSecond:   perSecond,
+		MaxInSecond: perSecond*max(settings.GetOvershoot(), 1) + settings.GetSlack(),
+		ColdTime:    coldTime,
 	}
 }
 
@@ -254,7 +269,7 @@
 	n.refresh()
 	n.entry.SetRoutes(entry.NewRoutes(state.GetConfig(), state.GetPreset()))
 	n.limiter.SetLimits(budget.LimitsOf(config.BudgetOf(state)))
-	n.configureGate(state, n.members.Self().GetService())
+	n.configureGate(state, cmp.Or(n.members.Self().GetService(), n.settings.GetPlatform().GetService()))
 	n.drain.setDrainedByOperator(isDraining(state, n.settings.GetInstance()))
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -26,6 +26,9 @@
 	minRetentionS     = 4200
 	maxSeeds          = 64
 
+	maxColdOvershoot = 10
+	maxColdSlack     = 10_000
+
 	maxPipelineDepth      = 64
 	maxPipelineConcurrent = 4096
 	// A read of later requests takes up to 4 KiB.
@@ -113,6 +116,13 @@
 	if ratio := settings.GetRetryRatio(); ratio < 0 || ratio > 1 {
 		c.addf("platform.retry_ratio", "got %g, expected 0 to 1", ratio)
 	}
+	cold := settings.GetColdServers()
+	if overshoot := cold.GetOvershoot(); overshoot != 0 && !(overshoot >= 1 && overshoot <= maxColdOvershoot) {
+		c.addf("platform.cold_servers.overshoot", "got %g, expected 1 to %d", overshoot, maxColdOvershoot)
+	}
+	if slack := cold.GetSlack(); !(slack >= 0 && slack <= maxColdSlack) {
+		c.addf("platform.cold_servers.slack", "got %g, expected 0 to %d requests", slack, maxColdSlack)
+	}
 }
 
 // missing is checked, and refused, in place of a required address that is empty.
--- a/internal/wire/servernotice.go
+++ b/internal/wire/servernotice.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // NoRateLimit is the rate of a ServerNotice that names none.
@@ -43,3 +44,20 @@
 	notice.RatePerS = rate
 	return notice
 }
+
+// maxColdMs bounds the cold time that a header may name: an hour.
+const maxColdMs = 3_600_000
+
+// ParseColdTime returns the time for which a backend server stays cold by the header of
+// an answer of its health endpoint; zero: it is warm. It returns false if the header is
+// missing or malformed.
+func ParseColdTime(names *Headers, header http.Header) (coldFor time.Duration, ok bool) {
+	if names.ColdTime == "" {
+		return 0, false
+	}
+	ms, err := strconv.ParseFloat(strings.TrimSpace(header.Get(names.ColdTime)), 64)
+	if err != nil || !(ms >= 0) {
+		return 0, false
+	}
+	return time.Duration(math.Ceil(min(ms, maxColdMs)*1e3)) * time.Microsecond, true
+}
