Fair share of a class among organisations at the gate

Cause: when capacity is short, an organisation at 7.5 times its usual load takes the queue from the others: one below its fair share got 0.39 of what it asked for at one gate. Change: within a class, a free slot goes to the organisation that has fewest requests running, a full queue gives up a request of the one that holds most, and offers say so. State: counts of the requests that run and wait. The organisation comes with the request and with the question for an offer. Result: go test -race of admission and gate passes.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -12,6 +12,9 @@
 type Request struct {
 	// Class is the priority; requests of higher classes go first.
 	Class int
+	// Organisation is the caller's organisation, among which a class shares the server;
+	// requests without one, "", share as one.
+	Organisation string
 	// Target is the time by which an answer has its full value to the caller.
 	Target time.Time
 	// Deadline is when the caller gives up.
@@ -95,6 +98,7 @@
 	slowdown     Slowdown
 	running      int
 	waiting      []*Ticket
+	shares       shares
 	lastSequence uint64
 }
 
@@ -122,6 +126,7 @@
 func (q *Queue) Admit(now time.Time, r Request) (verdict Verdict, ticket, evicted *Ticket) {
 	if q.running < q.limit && len(q.waiting) == 0 && !r.isFasterAfterSlowdown(now, q.slowdown) && q.TakeStart(now) {
 		q.running++
+		q.shares.started(&r)
 		return Granted, nil, nil
 	}
 	q.lastSequence++
@@ -130,13 +135,14 @@
 		return Refused, nil, nil
 	}
 	if len(q.waiting) >= q.capacity {
-		if evicted = q.evictionCandidate(now); evicted == nil || evicted.Class >= r.Class {
+		if evicted = q.evictionCandidate(now); !q.isEvictedFor(evicted, &r) {
 			return Refused, nil, nil
 		}
 		q.remove(evicted)
 	}
 	ticket.waiting = true
 	q.waiting = append(q.waiting, ticket)
+	q.shares.queued(&r)
 	return Queued, ticket, evicted
 }
 
@@ -211,8 +217,20 @@
 	if len(q.waiting) < q.capacity {
 		return true
 	}
-	evictionCandidate := q.evictionCandidate(now)
-	return evictionCandidate != nil && evictionCandidate.Class < t.Class
+	return q.isEvictedFor(q.evictionCandidate(now), &t.Request)
+}
+
+// isEvictedFor reports whether a waiting request gives its place to one that arrives: it
+// has a lower class, or its organisation would still hold as much of the class afterwards
+// as that of the other.
+func (q *Queue) isEvictedFor(evicted *Ticket, r *Request) bool {
+	switch {
+	case evicted == nil || evicted.Class > r.Class:
+		return false
+	case evicted.Class < r.Class:
+		return true
+	}
+	return q.shares.held(&evicted.Request)-1 >= q.shares.held(r)+1
 }
 
 // canStartInTime reports whether a request that waits is expected to be answered
@@ -226,12 +244,7 @@
 // expectedWait returns the expected time until t starts, after the requests that go
 // before it.
 func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
-	ahead := 0
-	for _, other := range q.waiting {
-		if q.before(now, other, t) {
-			ahead++
-		}
-	}
+	ahead := q.ahead(now, t)
 	wait := max(q.expectedWaitBehind(ahead), q.StartWait(now, ahead))
 	if t.isFasterAfterSlowdown(now, q.slowdown) {
 		wait = max(wait, q.slowdown.Remaining)
@@ -255,9 +268,33 @@
 	return max(q.expectedWaitBehind(len(q.waiting)), q.StartWait(now, len(q.waiting)))
 }
 
-// before reports whether a goes before b: first by class, then requests that can
-// still meet their target before those that can't, then by target, then by arrival.
-// Short calls that other requests wait for have near targets, so they overtake long
+// ahead returns the number of waiting requests that are expected to go before t.
+func (q *Queue) ahead(now time.Time, t *Ticket) int {
+	areShared := q.shares.areShared(&t.Request)
+	ahead := 0
+	for _, other := range q.waiting {
+		if areShared && other.Class == t.Class && other.Organisation != t.Organisation {
+			continue // counted below
+		}
+		if q.before(now, other, t) {
+			ahead++
+		}
+	}
+	if !areShared {
+		return ahead
+	}
+	place := q.shares.running(&t.Request)
+	for _, other := range q.waiting {
+		if sameShare(&other.Request, &t.Request) && q.before(now, other, t) {
+			place++
+		}
+	}
+	return ahead + q.shares.aheadOfPlace(&t.Request, place)
+}
+
+// before reports whether a goes before b if they have the same organisation: first by
+// class, then requests that can still meet their target before those that can't, then by
+// target, then by arrival. Short calls that other requests wait for have near targets, so they overtake long
 // requests: a request that waits for such a call holds a slot elsewhere meanwhile.
 func (q *Queue) before(now time.Time, a, b *Ticket) bool {
 	if a.Class != b.Class {
@@ -280,13 +317,24 @@
 		if t.isFasterAfterSlowdown(now, q.slowdown) {
 			continue
 		}
-		if best == nil || q.before(now, t, best) {
+		if best == nil || q.startsBefore(now, t, best) {
 			best = t
 		}
 	}
 	return best
 }
 
+// startsBefore reports whether a starts before b: within a class, the organisation that has
+// fewer requests running goes first.
+func (q *Queue) startsBefore(now time.Time, a, b *Ticket) bool {
+	if a.Class == b.Class && a.Organisation != b.Organisation {
+		if ra, rb := q.shares.running(&a.Request), q.shares.running(&b.Request); ra != rb {
+			return ra < rb
+		}
+	}
+	return q.before(now, a, b)
+}
+
 // Delayed returns the number of requests that wait although a slot is free: for the
 // end of a slowdown, or for the server's rate.
 func (q *Queue) Delayed() int {
@@ -296,20 +344,33 @@
 	return len(q.waiting)
 }
 
-// evictionCandidate returns the last ticket in order of the lowest class that
-// waits; nil: none waits.
+// evictionCandidate returns the last ticket in order, among those of the organisation that
+// holds most, of the lowest class that waits; nil: none waits.
 func (q *Queue) evictionCandidate(now time.Time) *Ticket {
 	var worst *Ticket
 	for _, t := range q.waiting {
-		if worst == nil || t.Class < worst.Class || t.Class == worst.Class && q.before(now, worst, t) {
+		if worst == nil || t.Class < worst.Class || t.Class == worst.Class && q.evictedBefore(now, t, worst) {
 			worst = t
 		}
 	}
 	return worst
 }
 
-// Release frees a slot.
-func (q *Queue) Release() { q.running-- }
+// evictedBefore reports whether of two requests of a class a is evicted before b.
+func (q *Queue) evictedBefore(now time.Time, a, b *Ticket) bool {
+	if a.Organisation != b.Organisation {
+		if ha, hb := q.shares.held(&a.Request), q.shares.held(&b.Request); ha != hb {
+			return ha > hb
+		}
+	}
+	return q.before(now, b, a)
+}
+
+// Release frees the slot of a request of a class and an organisation.
+func (q *Queue) Release(class int, organisation string) {
+	q.running--
+	q.shares.ended(&Request{Class: class, Organisation: organisation})
+}
 
 // Next gives a free slot to a waiting request and returns its ticket. It returns
 // nil when no slot is free or no request should start now.
@@ -324,6 +385,7 @@
 	q.remove(t)
 	t.started = now
 	q.running++
+	q.shares.started(&t.Request)
 	return t
 }
 
@@ -361,6 +423,7 @@
 	cleared := q.waiting
 	for _, t := range cleared {
 		t.waiting = false
+		q.shares.left(&t.Request)
 	}
 	q.waiting = nil
 	return cleared
@@ -371,6 +434,7 @@
 		if q.waiting[i] == t {
 			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
 			t.waiting = false
+			q.shares.left(&t.Request)
 			return
 		}
 	}
--- /dev/null
+++ b/internal/admission/shares.go
@@ -0,0 +1,83 @@
+package admission
+
+// shareKey identifies an organisation's share of a class.
+type shareKey struct {
+	class        int
+	organisation string
+}
+
+// share is what an organisation holds of a class.
+type share struct {
+	running, waiting int
+}
+
+// shares counts the requests that run and wait by class and organisation. It holds no more
+// entries than there are such requests.
+type shares struct {
+	byKey map[shareKey]share
+}
+
+func keyOf(r *Request) shareKey { return shareKey{r.Class, r.Organisation} }
+
+// sameShare reports whether two requests belong to the same share.
+func sameShare(a, b *Request) bool { return keyOf(a) == keyOf(b) }
+
+func (s *shares) add(r *Request, running, waiting int) {
+	if s.byKey == nil {
+		s.byKey = make(map[shareKey]share)
+	}
+	key := keyOf(r)
+	held := s.byKey[key]
+	held.running += running
+	held.waiting += waiting
+	if held == (share{}) {
+		delete(s.byKey, key)
+		return
+	}
+	s.byKey[key] = held
+}
+
+// queued records that a request waits.
+func (s *shares) queued(r *Request) { s.add(r, 0, 1) }
+
+// left records that a request no longer waits.
+func (s *shares) left(r *Request) { s.add(r, 0, -1) }
+
+// started records that a request runs.
+func (s *shares) started(r *Request) { s.add(r, 1, 0) }
+
+// ended records that a request no longer runs.
+func (s *shares) ended(r *Request) { s.add(r, -1, 0) }
+
+// running returns the number of running requests in the share of a request.
+func (s *shares) running(r *Request) int { return s.byKey[keyOf(r)].running }
+
+// held returns the number of running and waiting requests in the share of a request.
+func (s *shares) held(r *Request) int {
+	held := s.byKey[keyOf(r)]
+	return held.running + held.waiting
+}
+
+// areShared reports whether requests of another organisation wait in the class of a
+// request.
+func (s *shares) areShared(r *Request) bool {
+	for key, held := range s.byKey {
+		if key.class == r.Class && key.organisation != r.Organisation && held.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// aheadOfPlace returns the number of waiting requests of other organisations that go before
+// a request with that many of its own organisation running or before it. Those with as many
+// count, since they came earlier.
+func (s *shares) aheadOfPlace(r *Request, place int) int {
+	ahead := 0
+	for key, held := range s.byKey {
+		if key.class == r.Class && key.organisation != r.Organisation {
+			ahead += min(max(place+1-held.running, 0), held.waiting)
+		}
+	}
+	return ahead
+}
--- a/internal/admission/slowdown_test.go
+++ b/internal/admission/slowdown_test.go
@@ -112,7 +112,7 @@
 			running = append(running, end)
 			continue
 		}
-		s.queue.Release()
+		s.queue.Release(low, "")
 	}
 	s.endTimes = running
 	s.queue.RemoveExpired(s.now)
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -129,11 +129,12 @@
 // offerQuestion describes the request to gates.
 func (x *exchange) offerQuestion() *pb.OfferQuestion {
 	return &pb.OfferQuestion{
-		Service:    x.call.Service,
-		Route:      x.call.Route,
-		Class:      x.call.Class,
-		TargetUs:   microseconds(time.Until(x.call.Target)),
-		DeadlineUs: microseconds(time.Until(x.call.Deadline)),
+		Service:      x.call.Service,
+		Route:        x.call.Route,
+		Class:        x.call.Class,
+		Organisation: x.call.Organisation,
+		TargetUs:     microseconds(time.Until(x.call.Target)),
+		DeadlineUs:   microseconds(time.Until(x.call.Deadline)),
 	}
 }
 
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -51,7 +51,7 @@
 		return refusal
 	}
 	if current := g.server.Load(); current != server {
-		g.limiter.releaseUnused(startedAt)
+		g.limiter.releaseUnused(startedAt, slotRequestOf(call))
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "the backend server was replaced")
 	}
@@ -62,7 +62,7 @@
 
 // slotRequestOf returns the slot request of a call.
 func slotRequestOf(call *wire.Call) slotRequest {
-	return slotRequest{class: call.Class, route: call.Route, target: call.Target, deadline: call.Deadline}
+	return slotRequest{class: call.Class, organisation: call.Organisation, route: call.Route, target: call.Target, deadline: call.Deadline}
 }
 
 // run is a call that holds a slot.
@@ -209,6 +209,7 @@
 func (r *run) end(state pb.AttemptState, answer *pb.StoredAnswer, result runResult) {
 	r.gate.attempts.end(r.call.Attempt, state, answer)
 	r.server.crash.requestEnded(r.call.Fingerprint)
+	result.class, result.organisation = r.call.Class, r.call.Organisation
 	result.route, result.holdTime, result.slowdownFactor = r.call.Route, time.Since(r.startedAt), r.slowdownFactor
 	r.gate.limiter.release(result)
 }
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -194,10 +194,12 @@
 
 // slotRequest describes the request that needs a slot.
 type slotRequest struct {
-	class    pb.Class
-	route    string
-	target   time.Time
-	deadline time.Time
+	class pb.Class
+	// organisation is the caller's organisation; empty: none.
+	organisation string
+	route        string
+	target       time.Time
+	deadline     time.Time
 }
 
 // acquire takes a slot, waiting in the queue as long as the request can still be
@@ -279,10 +281,11 @@
 // requestLocked returns the queue's form of a slot request.
 func (l *limiter) requestLocked(s slotRequest) admission.Request {
 	request := admission.Request{
-		Class:       classOrNormal(s.class),
-		Target:      s.target,
-		Deadline:    s.deadline,
-		ServiceTime: l.serviceTimes.Estimate(s.route),
+		Class:        classOrNormal(s.class),
+		Organisation: s.organisation,
+		Target:       s.target,
+		Deadline:     s.deadline,
+		ServiceTime:  l.serviceTimes.Estimate(s.route),
 	}
 	if request.Target.IsZero() {
 		request.Target = s.deadline
@@ -310,28 +313,30 @@
 		return kind
 	}
 	if <-resolution == 0 {
-		l.releaseUnusedLocked(ticket.Started())
+		l.releaseUnusedLocked(ticket.Started(), ticket.Class, ticket.Organisation)
 	}
 	return kind
 }
 
-// releaseUnused releases a slot, granted at startedAt, that no request ran in.
-func (l *limiter) releaseUnused(startedAt time.Time) {
+// releaseUnused releases a slot, granted at startedAt, that its request didn't run in.
+func (l *limiter) releaseUnused(startedAt time.Time, s slotRequest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.releaseUnusedLocked(startedAt)
+	l.releaseUnusedLocked(startedAt, classOrNormal(s.class), s.organisation)
 }
 
-func (l *limiter) releaseUnusedLocked(startedAt time.Time) {
+func (l *limiter) releaseUnusedLocked(startedAt time.Time, class int, organisation string) {
 	l.queue.Cold.Undo(startedAt)
-	l.queue.Release()
+	l.queue.Release(class, organisation)
 	l.grantLocked()
 }
 
 // runResult describes how a request that held a slot ended.
 type runResult struct {
-	route    string
-	holdTime time.Duration
+	class        pb.Class
+	organisation string
+	route        string
+	holdTime     time.Duration
 	// slowdownFactor is the server's slowdown factor when the request started.
 	slowdownFactor float64
 	// completed: the server ran the request to its end, so its hold time counts as
@@ -352,7 +357,7 @@
 		sample = 1
 	}
 	l.failureRate += failureSampleWeight * (sample - l.failureRate)
-	l.queue.Release()
+	l.queue.Release(classOrNormal(result.class), result.organisation)
 	l.grantLocked()
 }
 
--- a/internal/gate/offer.go
+++ b/internal/gate/offer.go
@@ -13,11 +13,12 @@
 func (g *Gate) Offer(ctx context.Context, question *pb.OfferQuestion) *pb.Offer {
 	now := time.Now()
 	call := &wire.Call{Meta: wire.Meta{
-		Service:  question.GetService(),
-		Route:    question.GetRoute(),
-		Class:    question.GetClass(),
-		Target:   now.Add(time.Duration(question.GetTargetUs()) * time.Microsecond),
-		Deadline: now.Add(time.Duration(question.GetDeadlineUs()) * time.Microsecond),
+		Service:      question.GetService(),
+		Route:        question.GetRoute(),
+		Class:        question.GetClass(),
+		Organisation: question.GetOrganisation(),
+		Target:       now.Add(time.Duration(question.GetTargetUs()) * time.Microsecond),
+		Deadline:     now.Add(time.Duration(question.GetDeadlineUs()) * time.Microsecond),
 	}}
 	offer := &pb.Offer{Incarnation: g.options.Incarnation}
 	server, refusal := g.serverFor(call)
