Cold servers: a gate that restarts at once keeps the bound as well

Cause: a gate that starts doesn't know the starts of the gate before. Right after a server became cold these may be 24, and the new gate's 15 came on top: 39 in a second where 30 are allowed, in a random history with a restart in no time. Change: with the first bounds, as many starts count as may make up the bound with those of a second (9 on the platform). A cold server gets 6 requests in the first second of a gate then, a warm one is held back by nothing once it has said so.

--- a/internal/admission/coldlimit.go
+++ b/internal/admission/coldlimit.go
@@ -94,8 +94,10 @@
 	withheldAt time.Time
 }
 
-// Configure sets the bounds. The latest starts still count.
-func (c *ColdLimit) Configure(b ColdBounds) {
+// Configure sets the bounds. The latest starts still count; those before the first bounds
+// aren't known, so as many count as may make up the bound with the starts of a second: the
+// gate of a process that has just ended may have used up what followed an answer.
+func (c *ColdLimit) Configure(now time.Time, b ColdBounds) {
 	if b == c.bounds {
 		return
 	}
@@ -110,11 +112,18 @@
 	c.perWindow = max(1, int(perSecond*c.window.Seconds()))
 	c.burst = max(1, c.perWindow/coldBurstDivisor)
 	c.perAnswer = max(c.perWindow, int(usable))
+	isFirst := len(c.starts) == 0
 	old := c.latestStarts(c.perAnswer)
 	c.starts, c.next = make([]time.Time, c.perAnswer), 0
 	for i := len(old) - 1; i >= 0; i-- {
 		c.push(old[i])
 	}
+	if isFirst {
+		bound := int(max(b.MaxInSecond, b.PerSecond))
+		for range min(max(c.perWindow+c.perAnswer-bound, 0), c.perWindow-1) {
+			c.push(now)
+		}
+	}
 }
 
 // latestStarts returns up to n starts, the latest first.
--- a/internal/gate/cold.go
+++ b/internal/gate/cold.go
@@ -141,7 +141,7 @@
 func (l *limiter) setColdBounds(bounds admission.ColdBounds) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.queue.Cold.Configure(bounds)
+	l.queue.Cold.Configure(time.Now(), bounds)
 	l.grantLocked()
 }
 
