--- a/internal/gate/cold_test.go
+++ b/internal/gate/cold_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/egretfield/egretfield/internal/admission"
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/telemetry"
 )
 
 // testColdBounds let three requests start at once, and fifteen in a second.
@@ -107,3 +108,27 @@
 		})
 	})
 }
+
+// Guards against alerts that find no metric: the names are those of docs/OPERATORS.md.
+func TestColdMetrics(t *testing.T) {
+	Convey("The metrics exist for a service with a cold rate only", t, func() {
+		metrics, err := telemetry.NewMetrics()
+		So(err, ShouldBeNil)
+		g := New(Options{Instance: "i", Incarnation: 1, Meter: metrics.Meter()})
+		g.SetServer(&Server{Service: "s", Address: "127.0.0.1:1", Slots: 10, Connections: 20})
+		read := func() string {
+			w := httptest.NewRecorder()
+			metrics.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+			return w.Body.String()
+		}
+		So(read(), ShouldNotContainSubstring, "egretfield_gate_cold")
+		g.SetColdBounds(testColdBounds)
+		text := read()
+		for _, line := range []string{
+			"egretfield_gate_cold 1", `egretfield_gate_cold_refusals_total{state="cold"} 0`, `egretfield_gate_cold_refusals_total{state="unknown"} 0`,
+			`egretfield_gate_cold_questions_total{result="failed"} 0`, `egretfield_gate_cold_questions_total{result="withheld"} 0`,
+		} {
+			So(text, ShouldContainSubstring, line)
+		}
+	})
+}
