--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -12,6 +12,9 @@
 type Request struct {
 	// Class is the priority; requests of higher classes go first.
 	Class int
+	// Organisation is the caller's organisation, among which a class shares the server;
+	// requests without one, "", share as one.
+	Organisation string
 	// Target is the time by which an answer has its full value to the caller.
 	Target time.Time
 	// Deadline is when the caller gives up.
@@ -57,8 +60,13 @@
 	waiting  bool
 	// latest is the time until which the request waits.
 	latest time.Time
+	// started is when the request got a slot.
+	started time.Time
 }
 
+// Started returns the time at which a request that waited got its slot.
+func (t *Ticket) Started() time.Time { return t.started }
+
 // LatestStart returns the time until which the request may wait: the last one at which
 // it can start and still be answered before its deadline, or an earlier one while the
 // server's rate is limited. A request that waits until then is refused.
@@ -81,13 +89,16 @@
 // takes, and orders the requests that wait. It isn't safe for concurrent use.
 type Queue struct {
 	// Rate is the request rate that the server takes.
-	Rate         RateLimit
+	Rate RateLimit
+	// Cold limits the starts while the server is cold, or may be.
+	Cold         ColdLimit
 	limit        int
 	capacity     int
 	meanHoldTime time.Duration
 	slowdown     Slowdown
 	running      int
 	waiting      []*Ticket
+	shares       shares
 	lastSequence uint64
 }
 
@@ -113,8 +124,9 @@
 // Admit decides on a request that arrives. It returns the ticket of a request that
 // waits, and the ticket that was evicted to make room for it, if any.
 func (q *Queue) Admit(now time.Time, r Request) (verdict Verdict, ticket, evicted *Ticket) {
-	if q.running < q.limit && len(q.waiting) == 0 && !r.isFasterAfterSlowdown(now, q.slowdown) && q.Rate.Take(now) {
+	if q.running < q.limit && len(q.waiting) == 0 && !r.isFasterAfterSlowdown(now, q.slowdown) && q.TakeStart(now) {
 		q.running++
+		q.shares.started(&r)
 		return Granted, nil, nil
 	}
 	q.lastSequence++
@@ -123,13 +135,14 @@
 		return Refused, nil, nil
 	}
 	if len(q.waiting) >= q.capacity {
-		if evicted = q.evictionCandidate(now); evicted == nil || evicted.Class >= r.Class {
+		if evicted = q.evictionCandidate(now); !q.isEvictedFor(evicted, &r) {
 			return Refused, nil, nil
 		}
 		q.remove(evicted)
 	}
 	ticket.waiting = true
 	q.waiting = append(q.waiting, ticket)
+	q.shares.queued(&r)
 	return Queued, ticket, evicted
 }
 
@@ -139,9 +152,38 @@
 	if limit := now.Add(maxQueueTimeAtRate); q.Rate.limited && limit.Before(t.latest) {
 		t.latest = limit
 	}
+	if q.Cold.Wait(now, 0) > 0 {
+		q.limitWait(now, t)
+	}
 	return t
 }
 
+// limitWait limits the time for which a request waits at a server that is cold or may be:
+// another server may still meet its target.
+func (q *Queue) limitWait(now time.Time, t *Ticket) {
+	if limit := now.Add(maxQueueTimeAtRate); limit.Before(t.latest) {
+		t.latest = limit
+	}
+	if last := t.Target.Add(-t.ServiceTime); last.After(now) && last.Before(t.latest) {
+		t.latest = last
+	}
+}
+
+// TakeStart takes the allowance for sending one request to the server. It reports whether
+// there was one.
+func (q *Queue) TakeStart(now time.Time) bool {
+	if q.Rate.Wait(now, 0) > 0 || !q.Cold.Take(now) {
+		return false
+	}
+	return q.Rate.Take(now)
+}
+
+// StartWait returns the time until the server's rates allow the start of a request with
+// that many others ahead of it.
+func (q *Queue) StartWait(now time.Time, ahead int) time.Duration {
+	return max(q.Rate.Wait(now, ahead), q.Cold.Wait(now, ahead))
+}
+
 // QueueEstimate is what a request can expect from the queue and the server.
 type QueueEstimate struct {
 	// Refused: the request would be refused.
@@ -163,7 +205,7 @@
 	if estimate.Wait < q.slowdown.Remaining {
 		estimate.ServiceTime = time.Duration(float64(r.ServiceTime) * q.slowdown.Factor)
 	}
-	mustQueue := q.running >= q.limit || len(q.waiting) > 0 || r.isFasterAfterSlowdown(now, q.slowdown) || q.Rate.Wait(now, 0) > 0
+	mustQueue := q.running >= q.limit || len(q.waiting) > 0 || r.isFasterAfterSlowdown(now, q.slowdown) || q.StartWait(now, 0) > 0
 	estimate.AtOnce = !mustQueue && q.slowdown.Factor <= 1
 	estimate.Refused = mustQueue && (!q.canStartInTime(now, t) || !q.hasCapacity(now, t))
 	return estimate
@@ -175,8 +217,20 @@
 	if len(q.waiting) < q.capacity {
 		return true
 	}
-	evictionCandidate := q.evictionCandidate(now)
-	return evictionCandidate != nil && evictionCandidate.Class < t.Class
+	return q.isEvictedFor(q.evictionCandidate(now), &t.Request)
+}
+
+// isEvictedFor reports whether a waiting request gives its place to one that arrives: it
+// has a lower class, or its organisation would still hold as much of the class afterwards
+// as that of the other.
+func (q *Queue) isEvictedFor(evicted *Ticket, r *Request) bool {
+	switch {
+	case evicted == nil || evicted.Class > r.Class:
+		return false
+	case evicted.Class < r.Class:
+		return true
+	}
+	return q.shares.held(&evicted.Request)-1 >= q.shares.held(r)+1
 }
 
 // canStartInTime reports whether a request that waits is expected to be answered
@@ -190,13 +244,8 @@
 // expectedWait returns the expected time until t starts, after the requests that go
 // before it.
 func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
-	ahead := 0
-	for _, other := range q.waiting {
-		if q.before(now, other, t) {
-			ahead++
-		}
-	}
-	wait := max(q.expectedWaitBehind(ahead), q.Rate.Wait(now, ahead))
+	ahead := q.ahead(now, t)
+	wait := max(q.expectedWaitBehind(ahead), q.StartWait(now, ahead))
 	if t.isFasterAfterSlowdown(now, q.slowdown) {
 		wait = max(wait, q.slowdown.Remaining)
 	}
@@ -216,12 +265,36 @@
 // ExpectedWait returns the expected wait of one more request behind all that wait
 // now.
 func (q *Queue) ExpectedWait(now time.Time) time.Duration {
-	return max(q.expectedWaitBehind(len(q.waiting)), q.Rate.Wait(now, len(q.waiting)))
+	return max(q.expectedWaitBehind(len(q.waiting)), q.StartWait(now, len(q.waiting)))
 }
 
-// before reports whether a goes before b: first by class, then requests that can
-// still meet their target before those that can't, then by target, then by arrival.
-// Short calls that other requests wait for have near targets, so they overtake long
+// ahead returns the number of waiting requests that are expected to go before t.
+func (q *Queue) ahead(now time.Time, t *Ticket) int {
+	areShared := q.shares.areShared(&t.Request)
+	ahead := 0
+	for _, other := range q.waiting {
+		if areShared && other.Class == t.Class && other.Organisation != t.Organisation {
+			continue // counted below
+		}
+		if q.before(now, other, t) {
+			ahead++
+		}
+	}
+	if !areShared {
+		return ahead
+	}
+	place := q.shares.running(&t.Request)
+	for _, other := range q.waiting {
+		if sameShare(&other.Request, &t.Request) && q.before(now, other, t) {
+			place++
+		}
+	}
+	return ahead + q.shares.aheadOfPlace(&t.Request, place)
+}
+
+// before reports whether a goes before b if they have the same organisation: first by
+// class, then requests that can still meet their target before those that can't, then by
+// target, then by arrival. Short calls that other requests wait for have near targets, so they overtake long
 // requests: a request that waits for such a call holds a slot elsewhere meanwhile.
 func (q *Queue) before(now time.Time, a, b *Ticket) bool {
 	if a.Class != b.Class {
@@ -244,13 +317,24 @@
 		if t.isFasterAfterSlowdown(now, q.slowdown) {
 			continue
 		}
-		if best == nil || q.before(now, t, best) {
+		if best == nil || q.startsBefore(now, t, best) {
 			best = t
 		}
 	}
 	return best
 }
 
+// startsBefore reports whether a starts before b: within a class, the organisation that has
+// fewer requests running goes first.
+func (q *Queue) startsBefore(now time.Time, a, b *Ticket) bool {
+	if a.Class == b.Class && a.Organisation != b.Organisation {
+		if ra, rb := q.shares.running(&a.Request), q.shares.running(&b.Request); ra != rb {
+			return ra < rb
+		}
+	}
+	return q.before(now, a, b)
+}
+
 // Delayed returns the number of requests that wait although a slot is free: for the
 // end of a slowdown, or for the server's rate.
 func (q *Queue) Delayed() int {
@@ -260,20 +344,33 @@
 	return len(q.waiting)
 }
 
-// evictionCandidate returns the last ticket in order of the lowest class that
-// waits; nil: none waits.
+// evictionCandidate returns the last ticket in order, among those of the organisation that
+// holds most, of the lowest class that waits; nil: none waits.
 func (q *Queue) evictionCandidate(now time.Time) *Ticket {
 	var worst *Ticket
 	for _, t := range q.waiting {
-		if worst == nil || t.Class < worst.Class || t.Class == worst.Class && q.before(now, worst, t) {
+		if worst == nil || t.Class < worst.Class || t.Class == worst.Class && q.evictedBefore(now, t, worst) {
 			worst = t
 		}
 	}
 	return worst
 }
 
-// Release frees a slot.
-func (q *Queue) Release() { q.running-- }
+// evictedBefore reports whether of two requests of a class a is evicted before b.
+func (q *Queue) evictedBefore(now time.Time, a, b *Ticket) bool {
+	if a.Organisation != b.Organisation {
+		if ha, hb := q.shares.held(&a.Request), q.shares.held(&b.Request); ha != hb {
+			return ha > hb
+		}
+	}
+	return q.before(now, b, a)
+}
+
+// Release frees the slot of a request of a class and an organisation.
+func (q *Queue) Release(class int, organisation string) {
+	q.running--
+	q.shares.ended(&Request{Class: class, Organisation: organisation})
+}
 
 // Next gives a free slot to a waiting request and returns its ticket. It returns
 // nil when no slot is free or no request should start now.
@@ -282,11 +379,13 @@
 		return nil
 	}
 	t := q.nextEligible(now)
-	if t == nil || !q.Rate.Take(now) {
+	if t == nil || !q.TakeStart(now) {
 		return nil
 	}
 	q.remove(t)
+	t.started = now
 	q.running++
+	q.shares.started(&t.Request)
 	return t
 }
 
@@ -294,7 +393,11 @@
 // start.
 func (q *Queue) RemoveExpired(now time.Time) []*Ticket {
 	var expired []*Ticket
+	isCold := q.Cold.IsCold(now)
 	for _, t := range q.waiting {
+		if isCold {
+			q.limitWait(now, t) // it may have begun to wait at a warm server
+		}
 		if now.After(t.latest) {
 			expired = append(expired, t)
 		}
@@ -320,6 +423,7 @@
 	cleared := q.waiting
 	for _, t := range cleared {
 		t.waiting = false
+		q.shares.left(&t.Request)
 	}
 	q.waiting = nil
 	return cleared
@@ -330,6 +434,7 @@
 		if q.waiting[i] == t {
 			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
 			t.waiting = false
+			q.shares.left(&t.Request)
 			return
 		}
 	}
