admission: calls of backend servers get half of the slots before organisations' requests

Cause: requests without an organisation counted as one organisation. They are mostly calls of backend servers, whose callers hold slots elsewhere: among many organisations they would wait for a ninth of the slots while their callers wait for them. Change: they have the weight of half of the slots in comparisons with organisations. Result: TestCallsShare (1 of 8 slots to calls without the weight, 4 with it); the tests of admission, gate, node, entry and platform pass.

--- a/internal/admission/fairshare_test.go
+++ b/internal/admission/fairshare_test.go
@@ -447,3 +447,38 @@
 		}
 	})
 }
+
+// TestCallsShare guards against calls of backend servers that wait behind new work of many
+// organisations while their callers hold slots, and against organisations that calls keep
+// out of their own service. The load: a server of eight slots with more calls and more
+// requests of eight organisations than it can run.
+func TestCallsShare(t *testing.T) {
+	now := time.Now()
+	q := &Queue{}
+	q.SetLimits(8, 32)
+	request := func(organisation string) Request {
+		return Request{Organisation: organisation, Target: now.Add(time.Second), Deadline: now.Add(2 * time.Second), ServiceTime: 10 * time.Millisecond}
+	}
+	for range 8 {
+		q.Admit(now, request("blocker"))
+	}
+	for i := range 8 {
+		q.Admit(now, request(string(rune('a'+i))))
+	}
+	for range 8 {
+		q.Admit(now, request(""))
+	}
+	calls, others := 0, 0
+	for range 8 {
+		q.Release(0, "blocker")
+		if ticket := q.Next(now); ticket.Organisation == "" {
+			calls++
+		} else {
+			others++
+		}
+	}
+	Convey("Calls get half of the slots before the organisations' requests", t, func() {
+		So(calls, ShouldEqual, 4)
+		So(others, ShouldEqual, 4)
+	})
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -13,7 +13,7 @@
 	// Class is the priority; requests of higher classes go first.
 	Class int
 	// Organisation is the caller's organisation, among which a class shares the server;
-	// requests without one, "", share as one.
+	// requests without one, "", share as one with the weight of several.
 	Organisation string
 	// Target is the time by which an answer has its full value to the caller.
 	Target time.Time
@@ -102,9 +102,18 @@
 	lastSequence uint64
 }
 
+// callsShareDivisor: requests without an organisation get 1/callsShareDivisor of the slots
+// before those of organisations of their class. Without it, calls of backend servers wait
+// behind new work of many organisations while their callers hold slots; with all slots,
+// calls could keep the service's own callers out.
+const callsShareDivisor = 2
+
 // SetLimits sets the number of requests that may run at once and the number that
 // may wait.
-func (q *Queue) SetLimits(limit, capacity int) { q.limit, q.capacity = limit, capacity }
+func (q *Queue) SetLimits(limit, capacity int) {
+	q.limit, q.capacity = limit, capacity
+	q.shares.callsWeight = limit / callsShareDivisor
+}
 
 // SetMeanHoldTime sets the mean time for which a request holds a slot.
 func (q *Queue) SetMeanHoldTime(meanHoldTime time.Duration) { q.meanHoldTime = meanHoldTime }
@@ -230,7 +239,8 @@
 	case evicted.Class < r.Class:
 		return true
 	}
-	return q.shares.held(&evicted.Request)-1 >= q.shares.held(r)+1
+	return evicted.Organisation != r.Organisation &&
+		q.shares.weightedHeld(&evicted.Request, -1) >= q.shares.weightedHeld(r, 1)
 }
 
 // canStartInTime reports whether a request that waits is expected to be answered
@@ -328,7 +338,7 @@
 // fewer requests running goes first.
 func (q *Queue) startsBefore(now time.Time, a, b *Ticket) bool {
 	if a.Class == b.Class && a.Organisation != b.Organisation {
-		if ra, rb := q.shares.running(&a.Request), q.shares.running(&b.Request); ra != rb {
+		if ra, rb := q.shares.weightedRunning(&a.Request), q.shares.weightedRunning(&b.Request); ra != rb {
 			return ra < rb
 		}
 	}
@@ -359,7 +369,7 @@
 // evictedBefore reports whether of two requests of a class a is evicted before b.
 func (q *Queue) evictedBefore(now time.Time, a, b *Ticket) bool {
 	if a.Organisation != b.Organisation {
-		if ha, hb := q.shares.held(&a.Request), q.shares.held(&b.Request); ha != hb {
+		if ha, hb := q.shares.weightedHeld(&a.Request, 0), q.shares.weightedHeld(&b.Request, 0); ha != hb {
 			return ha > hb
 		}
 	}
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -15,6 +15,18 @@
 // entries than there are such requests.
 type shares struct {
 	byKey map[shareKey]share
+	// callsWeight is the weight of the requests without an organisation.
+	callsWeight int
+}
+
+// weight returns the weight of an organisation: the number of its requests that count as
+// one in a comparison with others. Requests without an organisation are mostly calls of
+// backend servers, for which another request holds a slot elsewhere.
+func (s *shares) weight(organisation string) int {
+	if organisation == "" {
+		return max(s.callsWeight, 1)
+	}
+	return 1
 }
 
 func keyOf(r *Request) shareKey { return shareKey{r.Class, r.Organisation} }
@@ -52,10 +64,15 @@
 // running returns the number of running requests in the share of a request.
 func (s *shares) running(r *Request) int { return s.byKey[keyOf(r)].running }
 
-// held returns the number of running and waiting requests in the share of a request.
-func (s *shares) held(r *Request) int {
+// weightedRunning returns the number of running requests in the share of a request by its
+// weight.
+func (s *shares) weightedRunning(r *Request) int { return s.running(r) / s.weight(r.Organisation) }
+
+// weightedHeld returns the number of running and waiting requests in the share of a
+// request by its weight, if that number changed by delta.
+func (s *shares) weightedHeld(r *Request, delta int) int {
 	held := s.byKey[keyOf(r)]
-	return held.running + held.waiting
+	return (held.running + held.waiting + delta) / s.weight(r.Organisation)
 }
 
 // areShared reports whether requests of another organisation wait in the class of a
@@ -73,10 +90,10 @@
 // a request with that many of its own organisation running or before it. Those with as many
 // count, since they came earlier.
 func (s *shares) aheadOfPlace(r *Request, place int) int {
-	ahead := 0
+	ahead, round := 0, place/s.weight(r.Organisation)
 	for key, held := range s.byKey {
 		if key.class == r.Class && key.organisation != r.Organisation {
-			ahead += min(max(place+1-held.running, 0), held.waiting)
+			ahead += min(max((round+1)*s.weight(key.organisation)-held.running, 0), held.waiting)
 		}
 	}
 	return ahead
