--- a/internal/admission/fairshare_test.go
+++ b/internal/admission/fairshare_test.go
@@ -450,8 +450,8 @@
 
 // TestCallsShare guards against calls of backend servers that wait behind new work of many
 // organisations while their callers hold slots, and against organisations that calls keep
-// out of their own service. The load: a server of eight slots with more calls and more
-// requests of eight organisations than it can run.
+// out of their own service. The load: a server of eight slots with more calls, whose
+// targets are near, and more requests of eight organisations than it can run.
 func TestCallsShare(t *testing.T) {
 	now := time.Now()
 	q := &Queue{}
@@ -466,7 +466,9 @@
 		q.Admit(now, request(string(rune('a'+i))))
 	}
 	for range 8 {
-		q.Admit(now, request(""))
+		call := request("")
+		call.Target = now.Add(100 * time.Millisecond)
+		q.Admit(now, call)
 	}
 	calls, others := 0, 0
 	for range 8 {
