Fold evacuations of data centres with the configuration

Cause: operators evacuate a data centre by a record of the configuration stream; nothing folded it.

Evacuate records conflict by base version within a data centre, get audit entries and reach subscribers. A platform's record (without an id) is kept before the first configuration and leaves the chain as it is, so that nodes that begin with the newest records agree with those that folded all. States merge per data centre: complete within an era, carried across eras. Metric egretfield_config_evacuations and a log line on change.

--- a/internal/configlog/apply.go
+++ b/internal/configlog/apply.go
@@ -1,6 +1,7 @@
 package configlog
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -114,6 +115,7 @@
 	last := f.inForce.Load()
 	state := f.folded
 	f.inForce.Store(&state)
+	f.recordEvacuations(last, state)
 	if last != nil && last.Version() == state.Version() {
 		return
 	}
@@ -124,6 +126,21 @@
 		zap.Stringer("source", f.source))
 }
 
+// recordEvacuations records the evacuations in force, and logs them if they differ from
+// those of the last state in force; nil: there was none. The caller holds f.mu.
+func (f *Follower) recordEvacuations(last *State, state State) {
+	evacuated := Evacuated(state.Config)
+	f.metrics.evacuated(len(evacuated))
+	var before []string
+	if last != nil {
+		before = Evacuated(last.Config)
+	}
+	if !slices.Equal(before, evacuated) {
+		f.logger.Info("evacuated data centres changed", zap.Strings("before", before), zap.Strings("evacuated", evacuated),
+			zap.Int64("folded_through", state.FoldedThrough), zap.Stringer("source", f.source))
+	}
+}
+
 // logEntry logs a refused change. Accepted ones are logged when they come into
 // force.
 func (f *Follower) logEntry(entry *pb.AuditEntry) {
--- a/internal/configlog/audit.go
+++ b/internal/configlog/audit.go
@@ -46,6 +46,11 @@
 			return "drain " + change.Drain.GetInstance()
 		}
 		return "undrain " + change.Drain.GetInstance()
+	case *pb.ConfigRecord_Evacuate:
+		if change.Evacuate.GetEvacuate() {
+			return "evacuate data centre " + change.Evacuate.GetDataCentre()
+		}
+		return "end the evacuation of data centre " + change.Evacuate.GetDataCentre()
 	case *pb.ConfigRecord_Snapshot:
 		return "snapshot"
 	default:
@@ -131,6 +136,7 @@
 	return strconv.Quote(truncate(text))
 }
 
+// isValidInstance reports whether name may be that of an instance or a data centre.
 func isValidInstance(name string) bool {
 	return name != "" && len(name) <= maxInstanceName && !strings.ContainsAny(name, " \t\r\n")
 }
--- a/internal/configlog/diff.go
+++ b/internal/configlog/diff.go
@@ -58,6 +58,9 @@
 	if len(state.GetDraining()) > 0 {
 		values["draining"] = strings.Join(state.GetDraining(), ", ")
 	}
+	if evacuated := Evacuated(state); len(evacuated) > 0 {
+		values["evacuated"] = strings.Join(evacuated, ", ")
+	}
 	if state.GetConfig() != nil {
 		flattenMessage(values, "config", state.GetConfig().ProtoReflect())
 	}
--- a/internal/configlog/fold.go
+++ b/internal/configlog/fold.go
@@ -26,8 +26,11 @@
 		return foldReplace(state, message, record)
 	}
 	entry = newEntry(message, record)
-	next := evaluate(state, message, entry)
-	return state.advance(record, next, entry), entry
+	next := state.advance(record, evaluate(state, message, entry), entry)
+	if message.GetEvacuate() != nil && isFromPlatform(message) {
+		next.Chain = state.Chain
+	}
+	return next, entry
 }
 
 // decode returns the message of record, or the entry that refuses a malformed one.
@@ -63,6 +66,8 @@
 		return evaluatePreset(state, change.UsePreset, entry)
 	case *pb.ConfigRecord_Drain:
 		return evaluateDrain(state, change.Drain, entry)
+	case *pb.ConfigRecord_Evacuate:
+		return evaluateEvacuation(state, change.Evacuate, entry)
 	default:
 		refuse(entry, pb.ErrorKind_ERROR_KIND_BAD_REQUEST, "record without a known change")
 		return state.Config
@@ -81,5 +86,6 @@
 		Applied:     state.GetApplied(),
 		DrainMarks:  state.GetDrainMarks(),
 		SinceUnixMs: state.GetSinceUnixMs(),
+		Evacuations: state.GetEvacuations(),
 	}
 }
--- a/internal/configlog/follow_log.go
+++ b/internal/configlog/follow_log.go
@@ -141,18 +141,14 @@
 }
 
 // adoptNewest continues the fold at the end of a keyed log, with the newest configuration
-// there unless that of the state is later.
+// there unless that of the state is later, and with the evacuations there.
 func (f *Follower) adoptNewest(ctx context.Context, log platformlog.KeyedLog) (platformlog.Bounds, error) {
 	started := time.Now()
 	records, bounds, err := log.Newest(ctx, platformlog.ConfigStream)
 	if err != nil {
 		return bounds, err
 	}
-	newest, ok := stateFromNewestReplacement(records, bounds)
-	if !ok {
-		newest = Empty()
-		newest.FoldedThrough = bounds.Next - 1
-	}
+	newest := stateFromNewest(records, bounds)
 	f.adopt(newest, sourceLog)
 	f.logOlder(newest)
 	if f.State().FoldedThrough < bounds.Next {
--- a/internal/configlog/follow_peers.go
+++ b/internal/configlog/follow_peers.go
@@ -76,7 +76,7 @@
 func (f *Follower) OnDigest(addr string, digest *pb.ConfigDigest) {
 	own := f.State()
 	switch {
-	case isAhead(digest, own):
+	case isAhead(digest, own), hasOtherEvacuations(digest, own):
 		f.pullState.setAhead(addr)
 	case divergesFrom(digest, own):
 		f.reportDivergence(addr)
@@ -88,6 +88,13 @@
 	return digest.GetFoldedThrough() > own.FoldedThrough || digest.GetOperatorVersion() > own.OperatorVersion()
 }
 
+// hasOtherEvacuations reports whether the digest's node has other evacuations at the same
+// position. After the log came back from an older copy, a node that starts doesn't know
+// those that the copy lost.
+func hasOtherEvacuations(digest *pb.ConfigDigest, own State) bool {
+	return digest.GetFoldedThrough() == own.FoldedThrough && digest.GetEvacuations() != evacuationsHash(own.Config)
+}
+
 // divergesFrom reports whether the digest's node folded other records up to the same
 // position. A node with an older configuration there has yet to get the later one.
 func divergesFrom(digest *pb.ConfigDigest, own State) bool {
@@ -224,7 +231,11 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	reply := &pb.ConfigPullReply{}
-	err := f.options.ControlClient.Call(ctx, addr, pullMethod, &pb.ConfigPull{From: own.FoldedThrough + 1, OperatorVersion: own.OperatorVersion()}, reply)
+	err := f.options.ControlClient.Call(ctx, addr, pullMethod, &pb.ConfigPull{
+		From:            own.FoldedThrough + 1,
+		OperatorVersion: own.OperatorVersion(),
+		Evacuations:     evacuationsHash(own.Config),
+	}, reply)
 	return reply, err
 }
 
--- a/internal/configlog/metrics.go
+++ b/internal/configlog/metrics.go
@@ -20,6 +20,7 @@
 	trimmedReads metric.Int64Counter
 	pullsFailed  metric.Int64Counter
 	divergences  metric.Int64Counter
+	evacuations  metric.Int64Gauge
 }
 
 // newMetrics creates the metrics with meter. If meter is nil, they record nothing.
@@ -35,6 +36,7 @@
 	m.trimmedReads, _ = meter.Int64Counter("egretfield.config.trimmed_reads")
 	m.pullsFailed, _ = meter.Int64Counter("egretfield.config.pulls_failed")
 	m.divergences, _ = meter.Int64Counter("egretfield.config.divergences")
+	m.evacuations, _ = meter.Int64Gauge("egretfield.config.evacuations")
 	return m
 }
 
@@ -71,3 +73,8 @@
 func (m *metrics) diverged() {
 	m.divergences.Add(context.Background(), 1)
 }
+
+// evacuated records the number of data centres whose evacuation is in force.
+func (m *metrics) evacuated(count int) {
+	m.evacuations.Record(context.Background(), int64(count))
+}
--- a/internal/configlog/replace.go
+++ b/internal/configlog/replace.go
@@ -51,22 +51,33 @@
 	return nil
 }
 
-// stateFromNewestReplacement returns the state after the newest valid replacement
-// among records, as of the end of the stream: every other record after it was
-// superseded or is no configuration. It reports false if there is none.
-func stateFromNewestReplacement(records []platformlog.Record, bounds platformlog.Bounds) (State, bool) {
-	for i := len(records) - 1; i >= 0; i-- {
-		message, failed := decode(records[i])
-		if failed != nil || message.GetReplace().GetConfig() == nil {
+// stateFromNewest returns the state at the end of a stream, of which records has the
+// newest record of each key, sorted by offset: the newest valid replacement, and the
+// evacuations. Every other record was superseded or is neither.
+func stateFromNewest(records []platformlog.Record, bounds platformlog.Bounds) State {
+	state := Empty()
+	newest := newestReplacement(records)
+	for i, record := range records {
+		message, failed := decode(record)
+		if failed != nil || i != newest && (message.GetEvacuate() == nil || !isFromPlatform(message)) {
 			continue
 		}
-		before := Empty()
-		before.FoldedThrough = records[i].Offset - 1
-		state, entry := foldReplace(before, message, records[i])
-		if entry.GetAccepted() {
-			state.FoldedThrough = max(state.FoldedThrough, bounds.Next-1)
-			return state, true
+		state.FoldedThrough = record.Offset - 1
+		state, _ = Fold(state, record)
+	}
+	state.FoldedThrough = max(state.FoldedThrough, bounds.Next-1)
+	return state
+}
+
+// newestReplacement returns the index of the newest valid replacement among records, or
+// -1 if there is none.
+func newestReplacement(records []platformlog.Record) int {
+	for i := len(records) - 1; i >= 0; i-- {
+		message, failed := decode(records[i])
+		replacement := message.GetReplace().GetConfig()
+		if failed == nil && replacement != nil && checkReplacement(Empty(), replacement, records[i].Offset) == nil {
+			return i
 		}
 	}
-	return State{}, false
+	return -1
 }
--- a/internal/configlog/rpc.go
+++ b/internal/configlog/rpc.go
@@ -38,7 +38,8 @@
 	reply.Digest = f.folded.Digest()
 	reply.Digest.AtEndAgeMs = f.atEndAgeMs(time.Now())
 	if args.GetFrom() > f.folded.FoldedThrough {
-		if f.folded.OperatorVersion() > args.GetOperatorVersion() {
+		hasNews := f.folded.OperatorVersion() > args.GetOperatorVersion() || reply.Digest.GetEvacuations() != args.GetEvacuations()
+		if hasNews && f.folded.Version() > 0 {
 			reply.Snapshot = f.folded.Snapshot()
 		}
 		return nil
--- a/internal/configlog/snapshot.go
+++ b/internal/configlog/snapshot.go
@@ -25,6 +25,8 @@
 		return State{}, eris.Errorf("snapshot with unknown preset %q", state.GetPreset())
 	case !slices.Equal(state.GetDraining(), draining(state.GetDrainMarks())):
 		return State{}, eris.New("snapshot whose drained instances do not match its drain marks")
+	case !areEvacuationsConsistent(state.GetEvacuations(), through):
+		return State{}, eris.Errorf("snapshot folded through offset %d with evacuations that are out of order, repeated, beyond it or more than %d", through, maxEvacuations)
 	case !isAuditConsistent(state.GetAudit(), through):
 		return State{}, eris.New("snapshot whose audit trail is out of order")
 	}
--- a/internal/configlog/state.go
+++ b/internal/configlog/state.go
@@ -25,7 +25,8 @@
 	FoldedThrough int64
 	// Chain is a hash chain over the records folded and whether each was accepted. An
 	// accepted record that replaces the whole configuration restarts it; one that is
-	// refused or has no configuration leaves it unchanged.
+	// refused or has no configuration leaves it unchanged, and so does a platform's
+	// evacuation.
 	Chain uint64
 }
 
@@ -48,20 +49,24 @@
 // other. A log that came back from an older copy may hold an older configuration at a later
 // offset, so configurations with operator's versions compare by these. The chain belongs to
 // the configuration then: only an accepted replacement changes it. Without operator's
-// versions, configuration and position belong together.
+// versions, configuration and position belong together. Evacuations are merged by data
+// centre.
 func (s State) merge(other State) State {
+	merged := s
 	if s.OperatorVersion() == 0 && other.OperatorVersion() == 0 {
-		if other.FoldedThrough > s.FoldedThrough && other.Version() >= s.Version() {
-			return other
+		if other.FoldedThrough > s.FoldedThrough {
+			if other.Version() < s.Version() {
+				return s
+			}
+			merged = other
 		}
-		return s
-	}
-	merged := s
-	if other.hasLaterConfig(s) {
-		merged = other
+	} else {
+		if other.hasLaterConfig(s) {
+			merged = other
+		}
+		merged.FoldedThrough = max(s.FoldedThrough, other.FoldedThrough)
 	}
-	merged.FoldedThrough = max(s.FoldedThrough, other.FoldedThrough)
-	return merged
+	return merged.withEvacuations(mergeEvacuations(s, other))
 }
 
 func (s State) hasLaterConfig(other State) bool {
@@ -81,6 +86,7 @@
 		FoldedThrough:   s.FoldedThrough,
 		Chain:           s.Chain,
 		OperatorVersion: s.OperatorVersion(),
+		Evacuations:     evacuationsHash(s.Config),
 	}
 }
 
--- a/internal/configlog/subscribe.go
+++ b/internal/configlog/subscribe.go
@@ -11,10 +11,8 @@
 type subscribers struct {
 	mu       sync.Mutex
 	handlers []*handler
-	// lastApplied and lastOperatorVersion are those of the state last passed to the
-	// handlers.
-	lastApplied         int64
-	lastOperatorVersion int64
+	// last is the state last passed to the handlers; nil: none yet.
+	last *pb.ConfigState
 }
 
 type handler struct {
@@ -22,8 +20,8 @@
 }
 
 // Subscribe registers call as a handler. It is called with the state in force:
-// immediately if there is one, and in order after each change of the version or the
-// drains. Changes in quick succession may be reported as one. The handler must not
+// immediately if there is one, and in order after each change of the version, the
+// drains or the evacuations. Changes in quick succession may be reported as one. The handler must not
 // block or subscribe. The function returned ends the subscription.
 func (f *Follower) Subscribe(call func(*pb.ConfigState)) func() {
 	s := &f.subscribers
@@ -31,7 +29,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.handlers = append(s.handlers, added)
-	if state := f.Current(); state != nil && s.lastApplied > 0 {
+	if state := f.Current(); state != nil && s.last != nil {
 		call(state)
 	}
 	return func() {
@@ -48,12 +46,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := f.Current()
-	if state == nil || state.GetApplied() == s.lastApplied && state.GetConfig().GetOperatorVersion() == s.lastOperatorVersion {
+	if state == nil || s.last != nil && hasSameEffect(state, s.last) {
 		return
 	}
-	s.lastApplied = state.GetApplied()
-	s.lastOperatorVersion = state.GetConfig().GetOperatorVersion()
+	s.last = state
 	for _, handler := range s.handlers {
 		handler.call(state)
 	}
 }
+
+// hasSameEffect reports whether handlers can't tell a from b.
+func hasSameEffect(a, b *pb.ConfigState) bool {
+	return a.GetApplied() == b.GetApplied() &&
+		a.GetConfig().GetOperatorVersion() == b.GetConfig().GetOperatorVersion() &&
+		slices.Equal(Evacuated(a), Evacuated(b))
+}
