gate: refuse new and waiting requests in an evacuated data centre

The drainer's notice period would be wrong here, because entries that are cut off keep sending, and its announcement to members would have to be undone.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -88,6 +88,8 @@
 	attempts *attempts
 	server   atomic.Pointer[backendServer]
 	draining atomic.Bool
+	// evacuated reports whether the data centre is evacuated.
+	evacuated atomic.Bool
 	// stopDeadline is when the node stops and every request must have ended; nil:
 	// the node isn't stopping.
 	stopDeadline atomic.Pointer[time.Time]
@@ -172,6 +174,21 @@
 	}
 }
 
+// SetEvacuated makes the gate refuse new and waiting requests while the data centre is
+// evacuated. Requests that run are served.
+func (g *Gate) SetEvacuated(evacuated bool) {
+	if g.evacuated.Swap(evacuated) == evacuated {
+		return
+	}
+	g.logger.Info("gate evacuation changed", zap.Bool("evacuated", evacuated))
+	if evacuated {
+		g.RefuseWaiting()
+	}
+}
+
+// evacuatedMessage is the message of refusals while the data centre is evacuated.
+const evacuatedMessage = "the data centre is evacuated"
+
 // SetStopping makes the gate accept only requests that are expected to end well
 // before the time by, the node's stop.
 func (g *Gate) SetStopping(by time.Time) { g.stopDeadline.Store(&by) }
@@ -232,6 +249,8 @@
 	switch {
 	case g.draining.Load():
 		return nil, wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DRAINING, "the instance is draining")
+	case g.evacuated.Load():
+		return nil, wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DRAINING, evacuatedMessage)
 	case g.mayOutlastStop(call):
 		return nil, wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DRAINING, "the instance stops before the request would end")
 	case server == nil:
