node: put evacuations in force

Balancers leave out the servers of evacuated data centres, the node's own gate refuses, and explain names the reason. The drainer and the member list aren't involved; the node stays ready for its callers.

With the mechanism off: gate not told, endpoints kept, instance drained instead: TestEvacuationOnNode fails each time.

go test -race ./internal/node: ok, 18.0 s.

--- a/internal/node/balancers.go
+++ b/internal/node/balancers.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
 	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/config"
+	"github.com/egretfield/egretfield/internal/configlog"
 	"github.com/egretfield/egretfield/internal/member"
 	"github.com/egretfield/egretfield/internal/pb"
 )
@@ -74,9 +76,10 @@
 	for _, instance := range state.GetDraining() {
 		draining[instance] = true
 	}
+	evacuated := configlog.Evacuated(state)
 	var endpoints []*balance.Endpoint
 	for _, m := range view.Service(name) {
-		if !draining[m.GetInstance()] {
+		if !draining[m.GetInstance()] && !slices.Contains(evacuated, m.GetDataCentre()) {
 			endpoints = append(endpoints, endpointOf(m))
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -256,6 +257,8 @@
 	n.limiter.SetLimits(budget.LimitsOf(config.BudgetOf(state)))
 	n.configureGate(state, n.members.Self().GetService())
 	n.drain.setDrainedByOperator(isDraining(state, n.settings.GetInstance()))
+	// The other nodes leave out the data centre on their own; the member list isn't told.
+	n.gate.SetEvacuated(slices.Contains(configlog.Evacuated(state), n.settings.GetDataCentre()))
 }
 
 // isDraining reports whether operators are draining the instance.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -9,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/egretfield/egretfield/internal/balance"
+	"github.com/egretfield/egretfield/internal/configlog"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/once"
 	"github.com/egretfield/egretfield/internal/pb"
@@ -252,6 +254,9 @@
 	if isDraining(s.node.follower.Current(), m.GetInstance()) {
 		facts.Reasons = append(facts.Reasons, "drained by an operator")
 	}
+	if slices.Contains(configlog.Evacuated(s.node.follower.Current()), m.GetDataCentre()) {
+		facts.Reasons = append(facts.Reasons, "data centre evacuated")
+	}
 	for _, known := range s.facts(m.GetService()) {
 		if known.Endpoint.Instance == m.GetInstance() {
 			addBalancerFacts(facts, known)
