--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -74,6 +74,11 @@
 	return s.submit(ctx, &pb.ConfigRecord{Change: &pb.ConfigRecord_Drain{Drain: change}})
 }
 
+func runEvacuate(ctx context.Context, s *session) error {
+	change := &pb.Evacuate{DataCentre: s.arg(0), Evacuate: !s.end}
+	return s.submit(ctx, &pb.ConfigRecord{Change: &pb.ConfigRecord_Evacuate{Evacuate: change}})
+}
+
 // submit makes a change, waits until it is in force on every live node and prints the
 // result.
 func (s *session) submit(ctx context.Context, record *pb.ConfigRecord) error {
@@ -130,13 +135,17 @@
 	if drain := record.GetDrain(); drain != nil && !s.force {
 		return checkInstance(ctx, fleet, drain)
 	}
+	if evacuate := record.GetEvacuate(); evacuate != nil && !s.force {
+		return checkDataCentre(ctx, fleet, evacuate)
+	}
 	return nil
 }
 
-// defaultBase returns the version that a change is based on unless -base is given. A
-// drain can conflict with other drains, whose offsets come after the version in force.
+// defaultBase returns the version that a change is based on unless -base is given.
+// Drains and evacuations can conflict with others of their kind, whose offsets come after
+// the version in force.
 func defaultBase(state configlog.State, record *pb.ConfigRecord) int64 {
-	if record.GetDrain() != nil {
+	if record.GetDrain() != nil || record.GetEvacuate() != nil {
 		return state.FoldedThrough
 	}
 	return state.Version()
@@ -157,6 +166,21 @@
 	return errkind.New(pb.ErrorKind_ERROR_KIND_NOT_FOUND, "no instance %q in the fleet; -force drains it all the same", drain.GetInstance())
 }
 
+// checkDataCentre returns an error if an evacuation names a data centre of which the
+// queried node knows no instance.
+func checkDataCentre(ctx context.Context, fleet control, evacuate *pb.Evacuate) error {
+	status, err := fleet.fleetStatus(ctx)
+	if err != nil || status == nil || !evacuate.GetEvacuate() {
+		return err
+	}
+	for _, node := range status.GetNodes() {
+		if node.GetMember().GetDataCentre() == evacuate.GetDataCentre() {
+			return nil
+		}
+	}
+	return errkind.New(pb.ErrorKind_ERROR_KIND_NOT_FOUND, "no instance in data centre %q in the fleet; -force evacuates it all the same", evacuate.GetDataCentre())
+}
+
 // reportConflict prints which version a conflicting change lost to, and returns err.
 func (s *session) reportConflict(entry *pb.AuditEntry, err error) error {
 	if configlog.IsConflict(err) && s.output != "json" {
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -107,6 +107,9 @@
 				entry.GetOffset(), orNone(entry.GetOperator()), firstLine(entry.GetSummary())))
 		}
 	}
+	for _, dataCentre := range configlog.Evacuated(state.Config) {
+		finding.Because = append(finding.Because, evacuationText(state, dataCentre))
+	}
 	findings := []*pb.Finding{finding}
 	for _, node := range status.GetNodes() {
 		if lagging := explainNode(state, node); lagging != nil {
--- a/internal/ctl/explain_endpoint.go
+++ b/internal/ctl/explain_endpoint.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -31,6 +32,9 @@
 		finding.Because = append(finding.Because, fmt.Sprintf("drained by %s at %s, offset %d%s",
 			orNone(drained.GetOperator()), formatTime(drained.GetTimeUnixMs()), drained.GetOffset(), reasonSuffix(drained)))
 	}
+	if slices.Contains(configlog.Evacuated(state.Config), member.GetDataCentre()) {
+		finding.Because = append(finding.Because, evacuationText(state, member.GetDataCentre()))
+	}
 	if until := endpoint.GetEjectedUntilUnixMs(); until > 0 {
 		finding.Because = append(finding.Because, "ejected as an outlier until "+formatTime(until))
 	}
@@ -77,16 +81,34 @@
 		if mark.GetInstance() != instance || !mark.GetDraining() {
 			continue
 		}
-		for _, entry := range state.Config.GetAudit() {
-			if entry.GetOffset() == mark.GetOffset() {
-				return entry
-			}
-		}
-		return &pb.AuditEntry{Offset: mark.GetOffset()}
+		return auditEntryAt(state, mark.GetOffset())
 	}
 	return nil
 }
 
+// evacuationText describes the evacuation in force of a data centre.
+func evacuationText(state configlog.State, dataCentre string) string {
+	entry := &pb.AuditEntry{}
+	for _, mark := range state.Config.GetEvacuations() {
+		if mark.GetDataCentre() == dataCentre {
+			entry = auditEntryAt(state, mark.GetOffset())
+		}
+	}
+	return fmt.Sprintf("data centre %s evacuated by %s at %s, offset %d%s", dataCentre,
+		orNone(entry.GetOperator()), formatTime(cmp.Or(entry.GetTimeUnixMs(), entry.GetLogTimeUnixMs())), entry.GetOffset(), reasonSuffix(entry))
+}
+
+// auditEntryAt returns the audit entry at offset, or one with only the offset if the
+// audit trail no longer has it.
+func auditEntryAt(state configlog.State, offset int64) *pb.AuditEntry {
+	for _, entry := range state.Config.GetAudit() {
+		if entry.GetOffset() == offset {
+			return entry
+		}
+	}
+	return &pb.AuditEntry{Offset: offset}
+}
+
 func reasonSuffix(entry *pb.AuditEntry) string {
 	if entry.GetReason() == "" {
 		return ""
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -59,6 +59,7 @@
 		{"status", "", "show nodes and what is in force on them", nil, runStatus},
 		{"drain", "INSTANCE", "let an instance finish its work and take no more", flagsDrain, runDrain},
 		{"undrain", "INSTANCE", "let an instance take work again", flagsChange, runUndrain},
+		{"evacuate", "DATA_CENTRE", "send no more requests to the servers of a data centre", flagsEvacuate, runEvacuate},
 		{"audit", "", "list changes, accepted and refused", flagsAudit, runAudit},
 		{"explain", "config|instance|service|key|quarantine [NAME]", "say why", nil, runExplain},
 	}
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -42,6 +42,7 @@
 	auditLimit  int
 	listChanges bool
 	force       bool
+	end         bool
 
 	startOver bool
 }
@@ -79,6 +80,13 @@
 	s.flags.BoolVar(&s.force, "force", false, "drain an instance that the node doesn't know")
 }
 
+// flagsEvacuate adds the flags of evacuate.
+func flagsEvacuate(s *session) {
+	flagsChange(s)
+	s.flags.BoolVar(&s.end, "end", false, "end the evacuation: send requests there again")
+	s.flags.BoolVar(&s.force, "force", false, "evacuate a data centre of which the node knows no instance")
+}
+
 func (s *session) defaultOperator() string {
 	if name := s.env.Getenv("EGRETFIELD_OPERATOR"); name != "" {
 		return name
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -45,12 +45,16 @@
 			Draining:    state.Config.GetDraining(),
 			Node:        node,
 			Fleet:       status,
+			Evacuated:   configlog.Evacuated(state.Config),
 		})
 	}
 	s.printf("%s", inForce(state))
 	if len(state.Config.GetDraining()) > 0 {
 		s.printf("draining: %s", strings.Join(state.Config.GetDraining(), ", "))
 	}
+	if evacuated := configlog.Evacuated(state.Config); len(evacuated) > 0 {
+		s.printf("evacuated data centres: %s", strings.Join(evacuated, ", "))
+	}
 	if node != nil {
 		s.printNode(node)
 	}
