e2e: evacuation, also as a fault of the soak

TestEvacuation evacuates a data centre under load from a caller of its own node too. One soak seed in three has an evacuation and its end beside its other faults; no request may run at that server from 5 s after the accepted change. The schedules of the other actions and of the regressions stay the same.

--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -223,6 +223,34 @@
 	})
 }
 
+// Guards against requests that reach a server of an evacuated data centre, and against
+// callers of its node that aren't served meanwhile.
+func TestEvacuation(t *testing.T) {
+	Convey("An operator evacuates a data centre and ends that: every request is answered, and none runs there meanwhile", t, func() {
+		f := newFleet(t, 4)
+		victim := f.instances[3]
+		var before, evacuated, atEnd int
+		var evacuateExit, endExit int
+		// Callers use the node in the evacuated data centre as well.
+		run := f.run(f.experiment(12, f.instances[2:]), func() {
+			before = countLines(victim.journal)
+			_, evacuateExit = f.ctl("evacuate", victim.dataCentre)
+			time.Sleep(2 * time.Second)
+			evacuated = countLines(victim.journal)
+			time.Sleep(3 * time.Second)
+			atEnd = countLines(victim.journal)
+			_, endExit = f.ctl("evacuate", "-end", victim.dataCentre)
+		})
+		So(evacuateExit, ShouldEqual, 0)
+		So(endExit, ShouldEqual, 0)
+		shouldKeepGuarantees(run)
+		shouldAnswerAll(run)
+		So(before, ShouldBeGreaterThan, 0)
+		So(atEnd, ShouldEqual, evacuated)
+		So(countLines(victim.journal), ShouldBeGreaterThan, atEnd)
+	})
+}
+
 func TestOperatorRace(t *testing.T) {
 	Convey("Of two operators who change the preset based on the same version, exactly one is accepted", t, func() {
 		f := newFleet(t, 2)
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -264,8 +264,13 @@
 // ctl runs egretctl through the first node. It returns the output and the exit
 // code.
 func (f *fleet) ctl(args ...string) (out string, exit int) {
+	return f.ctlVia(f.instances[0], args...)
+}
+
+// ctlVia runs egretctl through the node of an instance.
+func (f *fleet) ctlVia(i *instance, args ...string) (out string, exit int) {
 	cmd := exec.Command(filepath.Join(binaries, "egretctl"), args...)
-	cmd.Env = append(os.Environ(), "EGRETFIELD_NODE="+f.instances[0].addresses.Control,
+	cmd.Env = append(os.Environ(), "EGRETFIELD_NODE="+i.addresses.Control,
 		"EGRETFIELD_LOG="+f.logURL, "EGRETFIELD_KEY="+sharedKey, "EGRETFIELD_OPERATOR=tester")
 	cmd.Env = append(cmd.Env, f.environment...)
 	text, _ := cmd.CombinedOutput()
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -131,6 +131,47 @@
 	}},
 }
 
+const (
+	// evacuationBound is the time after the accepted evacuation from which no request runs
+	// in the data centre.
+	evacuationBound = 5 * time.Second
+	// maxEvacuationStart keeps the check of an evacuation within the load.
+	maxEvacuationStart = time.Second
+	// evacuationSeedInterval: every seed that is one above a multiple of it has an
+	// evacuation, except planned seeds and the regressions, whose schedules stay the same.
+	evacuationSeedInterval = 3
+)
+
+// evacuation is the action that evacuates the instance's data centre and ends that.
+// Its instance's lock is held meanwhile, so that its gate runs undisturbed.
+var evacuation = soakAction{"data centre evacuated", false, func(s *soak, i *instance, length time.Duration) {
+	out, exit := s.ctlVia(i, "evacuate", i.dataCentre, "-timeout", evacuationBound.String())
+	if exit == 0 {
+		time.Sleep(evacuationBound)
+		before := countLines(i.journal)
+		time.Sleep(length)
+		s.recordEvacuated(countLines(i.journal) - before)
+	} else {
+		s.addEvent("%s: evacuation not confirmed: %s", i.name, strings.TrimSpace(out))
+	}
+	s.await("end of the evacuation", func() bool {
+		_, exit := s.ctlVia(i, "evacuate", "-end", i.dataCentre, "-timeout", evacuationBound.String())
+		return exit == 0
+	})
+}}
+
+// evacuationStep draws the evacuation of a seed, from a random source of its own so that
+// the other actions of the seed stay the same.
+func evacuationStep(seed uint64, instances int) soakStep {
+	random := rand.New(rand.NewPCG(seed, 2))
+	return soakStep{
+		at:            time.Duration(random.Int64N(int64(maxEvacuationStart))),
+		instanceIndex: random.IntN(instances),
+		action:        evacuation,
+		length:        time.Duration(500+random.IntN(1500)) * time.Millisecond,
+	}
+}
+
 // soakStep is one action of the schedule, on one instance.
 type soakStep struct {
 	// at is the time from the start of the schedule to the start of the action.
@@ -161,6 +202,9 @@
 			length:        time.Duration(200+random.IntN(2800)) * time.Millisecond,
 		})
 	}
+	if !planned && seed%evacuationSeedInterval == 1 && !slices.Contains(soakRegressions, seed) {
+		steps = append(steps, evacuationStep(seed, instances))
+	}
 	slices.SortFunc(steps, func(a, b soakStep) int { return cmp.Compare(a.at, b.at) })
 	return steps, planned
 }
@@ -191,6 +235,9 @@
 
 	mu       sync.Mutex
 	timeline []string
+	// ranEvacuated is the number of requests that ran in an evacuated data centre beyond
+	// evacuationBound, and evacuations the number of evacuations checked.
+	ranEvacuated, evacuations int
 }
 
 func (s *soak) startNode(i *instance) {
@@ -205,6 +252,14 @@
 	i.startServer()
 }
 
+// recordEvacuated records the number of requests that ran in an evacuated data centre.
+func (s *soak) recordEvacuated(ran int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuations++
+	s.ranEvacuated += ran
+}
+
 func (s *soak) addEvent(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -339,6 +394,8 @@
 		shouldKeepGuarantees(after)
 		shouldAnswerAll(after)
 		s.shouldNotRevertConfiguration()
+		So(s.ranEvacuated, ShouldEqual, 0)
+		t.Logf("evacuations checked: %d", s.evacuations)
 		failed = false
 	})
 }
