--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -58,16 +58,28 @@
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "the backend server was replaced")
 	}
-	if !g.allowsRegion(call) {
+	if refusal := g.refuseAfterWait(call); refusal != nil {
 		g.limiter.releaseUnused(startedAt, slotRequestOf(call))
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
-		return regionRefusal()
+		return refusal
 	}
 	r := &run{gate: g, server: server, call: call, admittedAt: startedAt, startedAt: time.Now(), slowdownFactor: g.limiter.slowdownFactor()}
 	server.crash.requestStarted(call.Fingerprint)
 	return r.do(ctx)
 }
 
+// refuseAfterWait returns the refusal of a call that a change of the configuration since
+// its arrival no longer allows, or nil.
+func (g *Gate) refuseAfterWait(call *wire.Call) *wire.Answer {
+	switch {
+	case g.evacuated.Load(): // the call may have missed RefuseWaiting
+		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DRAINING, evacuatedMessage)
+	case !g.allowsRegion(call):
+		return regionRefusal()
+	}
+	return nil
+}
+
 // slotRequestOf returns the slot request of a call.
 func slotRequestOf(call *wire.Call) slotRequest {
 	return slotRequest{class: call.Class, organisation: call.Organisation, route: call.Route, target: call.Target, deadline: call.Deadline}
@@ -89,7 +101,7 @@
 
 func (r *run) do(ctx context.Context) *wire.Answer {
 	answer, err := r.send(ctx, false)
-	if err != nil && isSilentConnection(err) && r.call.Idempotent && !r.call.Streams() && r.gate.allowsRegion(r.call) {
+	if err != nil && isSilentConnection(err) && r.call.Idempotent && !r.call.Streams() && r.gate.refuseAfterWait(r.call) == nil {
 		if startedAt, ok := r.gate.limiter.takeRepeat(); ok {
 			r.admittedAt = startedAt
 			r.gate.counters.silentConnections.Add(1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -273,6 +274,8 @@
 	n.configureGate(state, cmp.Or(n.members.Self().GetService(), n.settings.GetPlatform().GetService()))
 	n.gate.SetRegionRules(balance.NewRegionRules(state.GetConfig(), state.GetVersion()))
 	n.drain.setDrainedByOperator(isDraining(state, n.settings.GetInstance()))
+	// The other nodes leave out the data centre on their own; the member list isn't told.
+	n.gate.SetEvacuated(slices.Contains(configlog.Evacuated(state), n.settings.GetDataCentre()))
 }
 
 // isDraining reports whether operators are draining the instance.
