apikey, config, configlog, ctl: checks of organisations, and digests instead of API keys

Cause: nothing looked API keys up, and the audit trail, "publish" and "config show" would have shown them, since they print every changed field. Changes and "config show" have "sha256:" and 8 hex digits; "config show -keys" prints the keys. That form is refused as a key, so that shown output can't be published by mistake. The checks refuse a key of two organisations, empty keys, empty or repeated names, names that don't fit into a header, classes that don't exist, and rates and bursts that are negative or not finite, with line and column and without the key. A key repeated within one organisation is accepted: it is harmless, and a refusal would hold back a whole configuration.

--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -40,6 +40,7 @@
 	}
 	services := c.checkServices(config.GetServices())
 	c.checkRequestRoutes(config.GetRequestRoutes(), services)
+	c.checkOrganisations(config.GetOrganisations())
 	c.checkCallerLimits(config.GetCallerLimits())
 	c.checkPresets(config, services)
 	c.checkMax("max_call_depth", uint64(config.GetMaxCallDepth()), maxCallDepth, "calls")
--- a/internal/configlog/diff.go
+++ b/internal/configlog/diff.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/reflect/protoreflect"
 
+	"github.com/egretfield/egretfield/internal/apikey"
 	"github.com/egretfield/egretfield/internal/pb"
 )
 
@@ -70,6 +71,8 @@
 		switch {
 		case field.IsList() && field.Message() != nil:
 			flattenList(values, at, value.List())
+		case isAPIKeys(field):
+			values[at] = joinKeys(value.List())
 		case field.IsList():
 			values[at] = joinList(value.List())
 		case field.Message() != nil:
@@ -104,6 +107,23 @@
 	return ""
 }
 
+// isAPIKeys reports whether a field has the API keys of an organisation, which nothing
+// may show.
+func isAPIKeys(field protoreflect.FieldDescriptor) bool {
+	return field.FullName() == apiKeysField
+}
+
+var apiKeysField = (&pb.Organisation{}).ProtoReflect().Descriptor().Fields().ByName("api_keys").FullName()
+
+// joinKeys returns the digests of API keys.
+func joinKeys(list protoreflect.List) string {
+	parts := make([]string, 0, list.Len())
+	for i := range list.Len() {
+		parts = append(parts, apikey.Shown(list.Get(i).String()))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func joinList(list protoreflect.List) string {
 	parts := make([]string, 0, list.Len())
 	for i := range list.Len() {
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -55,7 +55,7 @@
 		{"publish", "FILE", "put a configuration in force", flagsPublish, runPublish},
 		{"preset list", "", "list presets", nil, runPresetList},
 		{"preset use", "NAME", "put a preset in force", flagsChange, runPresetUse},
-		{"config show", "", "print the configuration in force", nil, runConfigShow},
+		{"config show", "", "print the configuration in force", flagsConfigShow, runConfigShow},
 		{"status", "", "show nodes and what is in force on them", nil, runStatus},
 		{"drain", "INSTANCE", "let an instance finish its work and take no more", flagsDrain, runDrain},
 		{"undrain", "INSTANCE", "let an instance take work again", flagsChange, runUndrain},
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -41,6 +41,7 @@
 	settings    bool
 	auditLimit  int
 	listChanges bool
+	showKeys    bool
 	force       bool
 
 	startOver bool
--- a/internal/ctl/session_test.go
+++ b/internal/ctl/session_test.go
@@ -171,6 +171,26 @@
 		s.run("audit -n 1 -o json")
 		s.run("config show")
 	})
+	// Guards against API keys in output and logs, and against digests published as keys.
+	runSession(t, "api-keys", func(s *testFleet) {
+		s.files["keys.yaml"] = s.files["one.yaml"] + "organisations: [{name: acme, api_keys: [secret-1, secret-2]}]\n"
+		s.files["moved.yaml"] = s.files["one.yaml"] + "organisations: [{name: acme, api_keys: [secret-1]}, {name: other, api_keys: [secret-2]}]\n"
+		s.files["twice.yaml"] = s.files["one.yaml"] + "organisations: [{name: acme, api_keys: [secret-1]}, {name: other, api_keys: [secret-1]}]\n"
+		s.files["digests.yaml"] = s.files["one.yaml"] + "organisations: [{name: acme, api_keys: [\"sha256:5b11618c\"]}]\n"
+		s.run("validate keys.yaml twice.yaml digests.yaml")
+		s.run("publish keys.yaml")
+		s.run("publish moved.yaml")
+		s.run("publish twice.yaml")
+		s.run("audit")
+		s.run("status -o json")
+		s.run("explain config")
+		s.run("config show")
+		s.run("config show -o json")
+		if strings.Contains(s.text.String(), "secret") {
+			t.Error("a key was shown")
+		}
+		s.run("config show -keys")
+	})
 	runSession(t, "drain-explain", func(s *testFleet) {
 		s.run("publish one.yaml")
 		s.run("drain orders-9")
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -5,7 +5,9 @@
 	"fmt"
 
 	"buf.build/go/protoyaml"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/egretfield/egretfield/internal/apikey"
 	"github.com/egretfield/egretfield/internal/config"
 	"github.com/egretfield/egretfield/internal/configlog"
 	"github.com/egretfield/egretfield/internal/errkind"
@@ -75,16 +77,26 @@
 	return state, err
 }
 
-// runConfigShow prints the configuration in a form that can be edited and published.
+func flagsConfigShow(s *session) {
+	s.flags.BoolVar(&s.showKeys, "keys", false, "print the API keys of organisations instead of digests, to edit and publish the output")
+}
+
+// runConfigShow prints the configuration in a form that can be edited and published, if
+// it has no API keys or they are shown.
 func runConfigShow(ctx context.Context, s *session) error {
 	state, err := s.publishedState(ctx)
 	if err != nil {
 		return err
 	}
+	snapshot := state.Snapshot()
+	if !s.showKeys {
+		snapshot = proto.CloneOf(snapshot)
+		snapshot.State.Config = apikey.Redact(snapshot.GetState().GetConfig())
+	}
 	if s.output == "json" {
-		return s.printJSON(state.Snapshot())
+		return s.printJSON(snapshot)
 	}
-	text, err := protoyaml.MarshalOptions{Indent: yamlIndent, UseProtoNames: true}.Marshal(state.Config.GetConfig())
+	text, err := protoyaml.MarshalOptions{Indent: yamlIndent, UseProtoNames: true}.Marshal(snapshot.GetState().GetConfig())
 	if err != nil {
 		return errkind.Wrap(pb.ErrorKind_ERROR_KIND_INTERNAL, err, "encode configuration")
 	}
