entry, gate, wire: authentication of callers by the API keys of organisations

Cause: organisations in the configuration had no effect; requests ran without a key, and the key was forwarded. The gate gets the key's id and the version of the entry's configuration (wire.Meta.KeyUse) and refuses, on arrival and when a slot is free, a request whose key its own configuration withdrew (401) or moved (not_ready, placed again), unless that configuration is older than the entry's. Ruled out: cancelling from the entry (can't tell waiting from running), comparing the organisation only (misses one withdrawn key). Answers are counted by organisation, for the 20 largest and "(other)", which isn't a possible name; no series decreases when this set changes. Check before an attempt: TestKeyWithdrawnWhileWaiting, TestKeyWithdrawnInQueue. Second choice, report of the first, 401 over a kept refusal, header after the first organisation, no 401 after an attempt that may have run: TestKeyWithdrawnWhileWaiting. Gate's check at the slot, moved keys: TestKeyWithdrawnInQueue. 401: TestAuthentication, TestKeysOnOneConnection. Removal of the header, of a forged organisation, class, WWW-Authenticate, several keys, no check on exempt routes: TestAuthentication. Joined and malformed credentials: also FuzzAuthorization. Order of versions: TestCheck. Metadata: TestCodecs. Label bound, monotonic counters: TestOrganisationMetrics. A log line with the key: TestNoKeyIsLogged. Digests in changes: TestChangesOfKeysShowDigests; in output: TestSessions. Key of two organisations, empty key, rates, digest as key: TestOrganisationRules. Not shown separately: TestKeyChanges (passes through the same lookup as TestAuthentication).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,6 +97,8 @@
 
 	mu     sync.Mutex
 	states map[string]*serviceState
+	// organisationCounters has the counters by organisation.
+	organisationCounters organisationCounters
 }
 
 // New returns a Handler that refuses requests until SetRoutes is called.
@@ -141,6 +143,7 @@
 		states[name] = state
 	}
 	h.states = states
+	h.organisationCounters.assignLocked(routes.organisations)
 	h.routes.Store(routes)
 	h.shareRetriesLocked(routes)
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -45,6 +45,8 @@
 	reservedBytes   int64
 	prefetchBuffer  *[]byte // holds a prefetched answer
 
+	// authentication tells which organisation sent the request.
+	authentication
 	balancer balance.Balancer
 	// placedByOffer reports whether an offer decided where the last attempt went.
 	placedByOffer bool
@@ -153,7 +155,7 @@
 	for {
 		endpoint, err := x.nextEndpoint(ctx, last)
 		if err != nil {
-			if last != nil {
+			if last != nil && errkind.KindOf(err) != pb.ErrorKind_ERROR_KIND_UNAUTHENTICATED {
 				return last
 			}
 			refusal := errorAnswer(err)
@@ -182,11 +184,10 @@
 	if !time.Now().Before(x.call.Deadline) {
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_DEADLINE_BEFORE_RUN, "the deadline passed before the request was sent")
 	}
-	endpoint, err := x.chooseEndpoint(ctx)
+	endpoint, err := x.chooseAuthenticated(ctx)
 	if err != nil {
 		return nil, err
 	}
-	x.pending = balance.Result{Endpoint: endpoint, Outcome: balance.OutcomeCancelled}
 	if last != nil && isRetryableRefusal(last) && !last.ConnectionLost && slices.Contains(x.tried, endpoint.Instance) {
 		// All other backend servers were tried and this one has already refused.
 		x.reportAttempt()
@@ -365,6 +366,9 @@
 	if (x.hasUnreadBody() || x.handler.stopBy.Load() != nil) && pipeline.CloseAfter(x.r) {
 		x.w.Header()["Connection"] = []string{"close"}
 	}
+	if answer.Kind == pb.ErrorKind_ERROR_KIND_UNAUTHENTICATED {
+		x.w.Header()["Www-Authenticate"] = []string{bearerScheme}
+	}
 	if answer.Kind != 0 {
 		answer.WriteError(x.w, x.handler.options.Headers.RequestID, x.requestID)
 		return
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -45,6 +45,7 @@
 		x.handler.metrics.rejected.Add(1)
 		return
 	}
+	x.countOrganisation(answer.Kind)
 	counters := &x.service.state.counters
 	counters.answers[int(answer.Kind)%len(counters.answers)].Add(1)
 	if answer.Kind == 0 && x.handler.metrics.timeAdded != nil {
@@ -97,7 +98,9 @@
 		{"egretfield.entry.untraced", "Lines about requests left out.", h.metrics.droppedLogLines.Load},
 		{"egretfield.entry.attempt_mismatches", "Answers that carried another attempt's id.", h.client.Mismatches},
 	}
-	instruments := []metric.Observable{answers}
+	byOrganisation, _ := meter.Int64ObservableCounter("egretfield.entry.organisation_answers",
+		metric.WithDescription("Answers by organisation and result, for those with the most requests; the others are counted together."))
+	instruments := []metric.Observable{answers, byOrganisation}
 	counters := make([]metric.Int64ObservableCounter, len(definitions))
 	for i, definition := range definitions {
 		counters[i], _ = meter.Int64ObservableCounter(definition.name, metric.WithDescription(definition.help))
@@ -108,6 +111,7 @@
 			o.ObserveInt64(counters[i], definition.value())
 		}
 		h.observeAnswers(o, answers)
+		h.observeOrganisations(o, byOrganisation)
 		return nil
 	}, instruments...)
 	if err != nil {
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -47,6 +47,9 @@
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_UNKNOWN_SERVICE, "no route or service matches the host and path")
 	}
 	x.service, x.route = found.service, found.route
+	if refusal := x.authenticate(routes); refusal != nil {
+		return refusal
+	}
 	x.service.state.budget.RecordRequest()
 	x.maxBodyBytes = routes.limits.bodyLimit(x.route)
 	x.call = wire.Call{
@@ -55,7 +58,6 @@
 			Service:    found.service.name,
 			Route:      x.route.name,
 			Caller:     x.handler.options.Service,
-			Class:      x.route.class,
 			Idempotent: x.route.isIdempotent(x.r.Method),
 		},
 		Method:    x.r.Method,
@@ -64,6 +66,7 @@
 		Header:    x.r.Header,
 		BodyBytes: x.r.ContentLength,
 	}
+	x.setOrganisation()
 	if err := x.validate(routes); err != nil {
 		return errorAnswer(err)
 	}
--- a/internal/entry/requestroute.go
+++ b/internal/entry/requestroute.go
@@ -57,6 +57,7 @@
 	r.timeout = time.Duration(from.GetTimeoutMs()) * time.Millisecond
 	r.target = time.Duration(from.GetTargetLatencyMs()) * time.Millisecond
 	r.maxAttempts = int(from.GetMaxAttempts())
+	r.authExempt = from.GetAuthExempt()
 	for _, part := range from.GetServices() {
 		if s := routes.services[part.GetService()]; s != nil {
 			r.serviceSplit.add(s, int(max(part.GetWeight(), 1)))
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/egretfield/egretfield/internal/apikey"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/retry"
 )
@@ -28,6 +29,9 @@
 	requestRoutesOnly bool
 	maxDepth          int
 	limits            callerLimits
+	// organisations are in the order of the configuration, as the owners in keys.
+	organisations []*organisation
+	keys          *apikey.Table
 }
 
 // match is the service and route that a request was matched to.
@@ -78,10 +82,19 @@
 	maxAttempts  int
 	maxBodyBytes int64
 	requireKey   bool
+	// authExempt reports whether requests need no API key.
+	authExempt bool
 }
 
-// NewRoutes builds a snapshot from a configuration and the preset of that name.
+// NewRoutes builds a snapshot from a configuration and the preset of that name, as of
+// version zero.
 func NewRoutes(config *pb.Config, preset string) *Routes {
+	return NewRoutesOfState(&pb.ConfigState{Config: config, Preset: preset})
+}
+
+// NewRoutesOfState builds a snapshot from the configuration and preset in force.
+func NewRoutesOfState(state *pb.ConfigState) *Routes {
+	config, preset := state.GetConfig(), state.GetPreset()
 	routes := &Routes{
 		services:       make(map[string]*service),
 		servicesByHost: make(map[string]*service),
@@ -102,6 +115,8 @@
 	}
 	routes.addRequestRoutes(config)
 	routes.limits = newCallerLimits(config.GetCallerLimits())
+	routes.organisations = newOrganisations(config.GetOrganisations())
+	routes.keys = apikey.NewTable(state)
 	return routes
 }
 
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -53,6 +53,11 @@
 		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "the backend server was replaced")
 	}
+	if refusal := g.keyRefusal(call); refusal != nil {
+		g.limiter.releaseUnused()
+		g.attempts.end(call.Attempt, pb.AttemptState_ATTEMPT_STATE_NOT_RUN, nil)
+		return refusal
+	}
 	r := &run{gate: g, server: server, call: call, startedAt: time.Now(), slowdownFactor: g.limiter.slowdownFactor()}
 	server.crash.requestStarted(call.Fingerprint)
 	return r.do(ctx)
@@ -77,7 +82,8 @@
 
 func (r *run) do(ctx context.Context) *wire.Answer {
 	answer, err := r.send(ctx, false)
-	if err != nil && isSilentConnection(err) && r.call.Idempotent && !r.call.Streams() && r.gate.limiter.takeRepeat() {
+	if err != nil && isSilentConnection(err) && r.call.Idempotent && !r.call.Streams() &&
+		r.gate.keyRefusal(r.call) == nil && r.gate.limiter.takeRepeat() {
 		r.gate.counters.silentConnections.Add(1)
 		answer, err = r.send(ctx, true)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/egretfield/egretfield/internal/apikey"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/quarantine"
@@ -88,6 +89,8 @@
 	attempts *attempts
 	server   atomic.Pointer[backendServer]
 	draining atomic.Bool
+	// keys are the API keys of the configuration in force; nil: there is none yet.
+	keys atomic.Pointer[apikey.Table]
 	// stopDeadline is when the node stops and every request must have ended; nil:
 	// the node isn't stopping.
 	stopDeadline atomic.Pointer[time.Time]
@@ -159,6 +162,22 @@
 	return slots
 }
 
+// SetKeys sets the API keys of the configuration in force.
+func (g *Gate) SetKeys(keys *apikey.Table) { g.keys.Store(keys) }
+
+// keyRefusal returns the refusal of a call whose API key was withdrawn or moved after its
+// entry had accepted it; nil: it may start. An entry places the request again after a move,
+// by the rules of the organisation that has the key now.
+func (g *Gate) keyRefusal(call *wire.Call) *wire.Answer {
+	switch g.keys.Load().Check(call.KeyUse, call.Organisation) {
+	case apikey.Withdrawn:
+		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_UNAUTHENTICATED, "the API key was withdrawn")
+	case apikey.Moved:
+		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "the API key was moved to another organisation")
+	}
+	return nil
+}
+
 // SetQueuePercent sets the length limit of the queue in percent of the slots.
 func (g *Gate) SetQueuePercent(percent uint32) {
 	g.limiter.setQueuePercent(int(percent))
@@ -243,5 +262,5 @@
 	case g.options.Quarantine.Refuses(call.Fingerprint):
 		return nil, wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_QUARANTINED, "equal requests crashed backend servers")
 	}
-	return server, nil
+	return server, g.keyRefusal(call)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -252,7 +252,9 @@
 // apply puts a configuration in force on this node.
 func (n *Node) apply(state *pb.ConfigState) {
 	n.refresh()
-	n.entry.SetRoutes(entry.NewRoutes(state.GetConfig(), state.GetPreset()))
+	routes := entry.NewRoutesOfState(state)
+	n.gate.SetKeys(routes.Keys())
+	n.entry.SetRoutes(routes)
 	n.limiter.SetLimits(budget.LimitsOf(config.BudgetOf(state)))
 	n.configureGate(state, n.members.Self().GetService())
 	n.drain.setDrainedByOperator(isDraining(state, n.settings.GetInstance()))
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/egretfield/egretfield/internal/apikey"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
 )
@@ -35,6 +36,8 @@
 	Caller string
 	// Organisation is the name of the caller's organisation; empty if it has none.
 	Organisation string
+	// KeyUse is the API key without which the request may not start; zero if it may.
+	KeyUse apikey.Use
 }
 
 // Call is one attempt of a request. Functions that receive a Call don't modify it.
@@ -106,7 +109,7 @@
 	return &Answer{Kind: kind, Message: message}
 }
 
-const metaFields = 10
+const metaFields = 11
 
 // appendMeta appends the value of HeaderCall to buf. Both times are relative to the start of
 // the exchange.
@@ -129,7 +132,12 @@
 	buf = append(buf, ' ')
 	buf = append(buf, encodeName(m.Route)...)
 	buf = append(buf, ' ')
-	return append(buf, encodeName(m.Organisation)...)
+	buf = append(buf, encodeName(m.Organisation)...)
+	buf = append(buf, ' ')
+	if m.KeyUse.IsZero() {
+		return append(buf, emptyName...)
+	}
+	return m.KeyUse.AppendTo(buf)
 }
 
 // emptyName represents an empty name in HeaderCall: the fields are separated by spaces,
@@ -191,7 +199,11 @@
 	depth, errDepth := strconv.ParseUint(fields[4], 10, 16)
 	fingerprint, errFingerprint := strconv.ParseUint(fields[5], 16, 64)
 	untilTargetMs, errTarget := strconv.ParseInt(fields[6], 10, 32)
-	if errTarget != nil || errTimeout != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
+	keyUse, keyOK := apikey.Use{}, true
+	if fields[10] != emptyName {
+		keyUse, keyOK = apikey.ParseUse(fields[10])
+	}
+	if !keyOK || errTarget != nil || errTimeout != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
 		return Meta{}, false
 	}
 	return Meta{
@@ -206,5 +218,6 @@
 		Route:       decodeName(fields[8]),
 
 		Organisation: decodeName(fields[9]),
+		KeyUse:       keyUse,
 	}, fields[0] != ""
 }
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/egretfield/egretfield/internal/apikey"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
 )
@@ -24,7 +25,8 @@
 		meta := Meta{
 			Attempt: id, RequestID: "r", Service: "s", Class: pb.Class_CLASS_CRITICAL, Idempotent: true,
 			Depth: 3, Deadline: now.Add(1500 * time.Millisecond), Fingerprint: 1 << 63,
-			Target: now.Add(400 * time.Millisecond), Route: "r-1", Caller: "web",
+			Target: now.Add(400 * time.Millisecond), Route: "r-1", Caller: "web", Organisation: "acme",
+			KeyUse: apikey.Use{Key: apikey.IDOf("k"), Version: apikey.Version{Operator: 3, Offset: 1 << 60}},
 		}
 		header := http.Header{
 			HeaderAttempt: {id.String()}, HeaderRequestID: {"r"}, HeaderCall: {string(appendMeta(nil, &meta, 1500, 400))},
