--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -41,6 +41,7 @@
 	}
 	services := c.checkServices(config.GetServices())
 	c.checkRequestRoutes(config.GetRequestRoutes(), services)
+	c.checkOrganisations(config.GetOrganisations())
 	c.checkRegions(config)
 	c.checkCallerLimits(config.GetCallerLimits())
 	c.checkPresets(config, services)
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -77,7 +77,7 @@
 	case !g.allowsRegion(call):
 		return regionRefusal()
 	}
-	return nil
+	return g.keyRefusal(call)
 }
 
 // slotRequestOf returns the slot request of a call.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -269,7 +269,9 @@
 // apply puts a configuration in force on this node.
 func (n *Node) apply(state *pb.ConfigState) {
 	n.refresh()
-	n.entry.SetRoutes(entry.NewRoutes(state.GetConfig(), state.GetPreset()).AtVersion(state.GetVersion()))
+	routes := entry.NewRoutesOfState(state).AtVersion(state.GetVersion())
+	n.gate.SetKeys(routes.Keys())
+	n.entry.SetRoutes(routes)
 	n.limiter.SetLimits(budget.LimitsOf(config.BudgetOf(state)))
 	n.configureGate(state, cmp.Or(n.members.Self().GetService(), n.settings.GetPlatform().GetService()))
 	n.gate.SetRegionRules(balance.NewRegionRules(state.GetConfig(), state.GetVersion()))
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/egretfield/egretfield/internal/apikey"
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
 )
@@ -38,6 +39,8 @@
 	// ConfigVersion is the version of the configuration by which the entry chose the
 	// gate; zero if unknown. A gate with an older one doesn't judge the entry's choice.
 	ConfigVersion int64
+	// KeyUse is the API key without which the request may not start; zero if it may.
+	KeyUse apikey.Use
 }
 
 // Call is one attempt of a request. Functions that receive a Call don't modify it.
@@ -109,7 +112,7 @@
 	return &Answer{Kind: kind, Message: message}
 }
 
-const metaFields = 11
+const metaFields = 12
 
 // appendMeta appends the value of HeaderCall to buf. Both times are relative to the start of
 // the exchange.
@@ -134,7 +137,12 @@
 	buf = append(buf, ' ')
 	buf = append(buf, encodeName(m.Route)...)
 	buf = append(buf, ' ')
-	return append(buf, encodeName(m.Organisation)...)
+	buf = append(buf, encodeName(m.Organisation)...)
+	buf = append(buf, ' ')
+	if m.KeyUse.IsZero() {
+		return append(buf, emptyName...)
+	}
+	return m.KeyUse.AppendTo(buf)
 }
 
 // emptyName represents an empty name in HeaderCall: the fields are separated by spaces,
@@ -197,7 +205,11 @@
 	fingerprint, errFingerprint := strconv.ParseUint(fields[5], 16, 64)
 	untilTargetMs, errTarget := strconv.ParseInt(fields[6], 10, 32)
 	configVersion, errVersion := strconv.ParseInt(fields[7], 10, 64)
-	if errVersion != nil || errTarget != nil || errTimeout != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
+	keyUse, keyOK := apikey.Use{}, true
+	if fields[11] != emptyName {
+		keyUse, keyOK = apikey.ParseUse(fields[11])
+	}
+	if !keyOK || errVersion != nil || errTarget != nil || errTimeout != nil || errClass != nil || errIdempotent != nil || errDepth != nil || errFingerprint != nil {
 		return Meta{}, false
 	}
 	return Meta{
@@ -213,5 +225,6 @@
 
 		Organisation:  decodeName(fields[10]),
 		ConfigVersion: configVersion,
+		KeyUse:        keyUse,
 	}, fields[0] != ""
 }
