wire: a health endpoint without a cold time belongs to a warm server

Cause: gates took a server for cold as long as its health endpoint didn't send the header with the cold time; servers send it only while they are cold. Change: a missing header means warm, a malformed one says nothing.

--- a/internal/wire/servernotice.go
+++ b/internal/wire/servernotice.go
@@ -49,12 +49,15 @@
 const maxColdMs = 3_600_000
 
 // ParseColdTime returns the time for which a backend server stays cold by the header of
-// an answer of its health endpoint; zero: it is warm. It returns false if the header is
-// missing or malformed.
+// an answer of its health endpoint; zero: it is warm. A server that is warm may leave the
+// header out. It returns false if the header is malformed or has no name.
 func ParseColdTime(names *Headers, header http.Header) (coldFor time.Duration, ok bool) {
 	if names.ColdTime == "" {
 		return 0, false
 	}
+	if len(header[names.ColdTime]) == 0 {
+		return 0, true
+	}
 	ms, err := strconv.ParseFloat(strings.TrimSpace(header.Get(names.ColdTime)), 64)
 	if err != nil || !(ms >= 0) {
 		return 0, false
--- a/internal/wire/servernotice_test.go
+++ b/internal/wire/servernotice_test.go
@@ -8,7 +8,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// Guards against a server that is taken for warm because its cold time isn't understood.
+// Guards against a server that is taken for warm because its cold time isn't understood,
+// and against one that is taken for cold because it names a cold time only while it is
+// cold.
 func TestParseColdTime(t *testing.T) {
 	names := DefaultHeaders()
 	parse := func(value string) (time.Duration, bool) {
@@ -26,7 +28,10 @@
 			_, ok := parse(value)
 			So(ok, ShouldBeFalse)
 		}
-		_, ok := ParseColdTime(&Headers{}, http.Header{"": {"0"}})
+		coldFor, ok := ParseColdTime(names, http.Header{})
+		So(ok, ShouldBeTrue)
+		So(coldFor, ShouldEqual, 0)
+		_, ok = ParseColdTime(&Headers{}, http.Header{"": {"0"}})
 		So(ok, ShouldBeFalse)
 	})
 }
