--- /dev/null
+++ b/internal/quota/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package quota
+
+const raceEnabled = true
