Usage caps: requests for tokens and grants as datagrams of the offer exchange

Cause: tokens need an exchange of about a millisecond that is signed and counted in the measuring budget.

Change: QuotaRequest and QuotaGrant pass through offer.Exchange (SetQuota, SendQuotaRequest); budget class quota between reports and rumors. Serve hands each datagram to receive, so that it can be fuzzed.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -24,6 +24,8 @@
 	ClassProbe Class = iota
 	// ClassReport is for load reports.
 	ClassReport
+	// ClassQuota is for tokens of usage caps, which requests wait for.
+	ClassQuota
 	// ClassRumor is for payloads of a peer.Broadcaster.
 	ClassRumor
 	// ClassGossip is for changes of members and digests.
@@ -37,7 +39,7 @@
 
 // String returns the class's name in metrics.
 func (c Class) String() string {
-	return [...]string{"probe", "report", "rumor", "gossip", "liveness", "leave"}[c]
+	return [...]string{"probe", "report", "quota", "rumor", "gossip", "liveness", "leave"}[c]
 }
 
 // reservedPercent is the share of each allowance that a class leaves to the classes
@@ -45,6 +47,7 @@
 var reservedPercent = [classCount]float64{
 	ClassProbe:    60,
 	ClassReport:   50,
+	ClassQuota:    45,
 	ClassRumor:    40,
 	ClassGossip:   30,
 	ClassLiveness: 10,
--- a/internal/offer/exchange.go
+++ b/internal/offer/exchange.go
@@ -66,11 +66,19 @@
 	RoundTrip time.Duration
 }
 
-// Stats are counts since the start: questions and offers sent, messages dropped
-// (questions and offers not sent, and questions received over the limit), and
+// Quota receives the datagrams about usage caps. Its methods must not block.
+type Quota interface {
+	// HandleRequest returns the reply to a request for tokens.
+	HandleRequest(from string, number uint64, request *pb.QuotaRequest) *pb.QuotaGrant
+	// HandleGrant receives the reply to the request with that number.
+	HandleGrant(number uint64, grant *pb.QuotaGrant)
+}
+
+// Stats are counts since the start: questions, offers, requests for tokens and grants
+// sent, messages dropped (those not sent, and questions received over the limit), and
 // datagrams received that are malformed or signed with another key.
 type Stats struct {
-	Questions, Offers, Dropped, Malformed atomic.Int64
+	Questions, Offers, QuotaRequests, QuotaGrants, Dropped, Malformed atomic.Int64
 }
 
 // Exchange sends questions, collects offers and answers the questions of other
@@ -84,6 +92,7 @@
 	logger     *zap.Logger
 	stats      Stats
 
+	quota       Quota
 	answerSlots chan struct{}
 
 	mu      sync.Mutex
@@ -114,6 +123,10 @@
 	}
 }
 
+// SetQuota sets the receiver of datagrams about usage caps. It must be called before
+// Serve; without it they are ignored.
+func (e *Exchange) SetQuota(quota Quota) { e.quota = quota }
+
 // Stats returns the counters.
 func (e *Exchange) Stats() *Stats { return &e.stats }
 
@@ -134,16 +147,27 @@
 			time.Sleep(readErrorPause)
 			continue
 		}
-		message, ok := e.decode(buffer[:n])
-		if !ok {
-			e.stats.Malformed.Add(1)
-			continue
-		}
-		switch content := message.Content.(type) {
-		case *pb.OfferMessage_Offer:
-			e.deliver(message.Number, content.Offer)
-		case *pb.OfferMessage_Question:
-			e.respond(from, message.Number, content.Question)
+		e.receive(from, buffer[:n])
+	}
+}
+
+// receive handles a datagram.
+func (e *Exchange) receive(from net.Addr, datagram []byte) {
+	message, ok := e.decode(datagram)
+	if !ok {
+		e.stats.Malformed.Add(1)
+		return
+	}
+	switch content := message.Content.(type) {
+	case *pb.OfferMessage_Offer:
+		e.deliver(message.Number, content.Offer)
+	case *pb.OfferMessage_Question:
+		e.respond(from, message.Number, content.Question)
+	case *pb.OfferMessage_QuotaRequest:
+		e.grant(from, message.Number, content.QuotaRequest)
+	case *pb.OfferMessage_QuotaGrant:
+		if e.quota != nil {
+			e.quota.HandleGrant(message.Number, content.QuotaGrant)
 		}
 	}
 }
@@ -178,6 +202,34 @@
 	}()
 }
 
+// grant replies to a request for tokens.
+func (e *Exchange) grant(to net.Addr, number uint64, request *pb.QuotaRequest) {
+	if e.quota == nil {
+		return
+	}
+	reply := e.quota.HandleRequest(to.String(), number, request)
+	message := &pb.OfferMessage{Number: number, Content: &pb.OfferMessage_QuotaGrant{QuotaGrant: reply}}
+	if e.send(to, budget.ClassQuota, message) {
+		e.stats.QuotaGrants.Add(1)
+	}
+}
+
+// SendQuotaRequest sends a request for tokens to the node at an address and reports
+// whether it was sent.
+func (e *Exchange) SendQuotaRequest(address string, number uint64, request *pb.QuotaRequest) bool {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		e.logger.Warn("malformed address of a quota owner", zap.String("address", address), zap.Error(err))
+		return false
+	}
+	message := &pb.OfferMessage{Number: number, Content: &pb.OfferMessage_QuotaRequest{QuotaRequest: request}}
+	if !e.send(net.UDPAddrFromAddrPort(to), budget.ClassQuota, message) {
+		return false
+	}
+	e.stats.QuotaRequests.Add(1)
+	return true
+}
+
 // Ask sends a question to the gates at the addresses and returns their replies in
 // the same order.
 func (e *Exchange) Ask(ctx context.Context, addresses []string, question *pb.OfferQuestion, limits WaitLimits) []Reply {
