Entry: a token of the organisation's usage cap before a request is sent

Change: Options.Quota. The claim begins before gates are asked for offers and is awaited before the first attempt; a request that is refused already asks no gate. Retries take no further token; a request that reached no backend server returns its own. Refusal: over_quota, 429, certified not run, with Retry-After. It acts once x.call.Organisation is set.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,8 @@
 	// Offers asks gates how soon they would answer; nil means that the balancers
 	// decide without offers.
 	Offers Offers
+	// Quota enforces the usage caps of organisations; nil means that there are none.
+	Quota Quota
 	// Started is closed once the node can serve; earlier requests wait for it for up
 	// to maxStartWait. Nil means that the node can serve from the beginning.
 	Started <-chan struct{}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -58,6 +58,7 @@
 	tried      []string
 	triedArray [DefaultMaxAttempts]string // backing array of tried
 	attempts   int
+	quota      quotaState
 	attemptLog []attemptRecord
 	// failures counts the attempts that failed at a backend server and could be retried.
 	failures int
@@ -132,7 +133,7 @@
 // run makes attempts and returns the final answer. It returns a refusal only if no
 // attempt can have run, because a refusal certifies that to the caller.
 func (x *exchange) run(ctx context.Context) *wire.Answer {
-	answer := x.runAttempts(ctx)
+	answer := x.runWithinQuota(ctx)
 	if x.uncertain == nil || mayHaveRun(answer) {
 		return answer
 	}
@@ -160,7 +161,11 @@
 			refusal.RetryAfter = x.retryAfter
 			return refusal
 		}
+		if refusal := x.awaitQuota(ctx); refusal != nil {
+			return refusal
+		}
 		answer := x.attempt(ctx, endpoint)
+		x.noteQuotaUse(answer)
 		if !x.shouldRetry(ctx, answer) {
 			return answer
 		}
