--- a/internal/ctl/rpc.go
+++ b/internal/ctl/rpc.go
@@ -37,6 +37,7 @@
 	reply.Services = status.GetServices()
 	reply.Requests = status.GetRequests()
 	reply.Measuring = status.GetMeasuring()
+	reply.Quotas = status.GetQuotas()
 	return nil
 }
 
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -91,6 +91,26 @@
 	if config.GetDivergences() > 0 {
 		s.printf("node %s: configuration contradicted by peers %d times", name, config.GetDivergences())
 	}
+	s.printQuotas(node)
+}
+
+// printQuotas prints the use of usage caps by callers of the node.
+func (s *session) printQuotas(node *pb.NodeStatus) {
+	var rows [][]string
+	for _, use := range node.GetQuotas() {
+		rows = append(rows, []string{
+			use.GetOrganisation(),
+			fmt.Sprintf("%g/s", use.GetRatePerS()),
+			fmt.Sprintf("%g", use.GetBurst()),
+			fmt.Sprintf("%.1f/s", use.GetDemandPerS()),
+			fmt.Sprint(use.GetGranted()),
+			fmt.Sprint(use.GetRefused()),
+			yesNo(use.GetOwner()),
+		})
+	}
+	if len(rows) > 0 {
+		s.printTable("ORGANISATION | CAP OF THE FLEET | BURST | DEMAND HERE | GRANTED HERE | REFUSED HERE | OWNS A PART", rows)
+	}
 }
 
 func (s *session) printFleet(status *pb.FleetStatus) {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -179,8 +179,10 @@
 		ClientOptions:   wire.ClientOptions{Headers: n.headers()},
 	})
 	n.offers = offer.New(n.sockets.offers, []byte(n.settings.GetSharedKey()), n.gate.Offer, n.limiter.AllowDatagram, n.logger.Named("offers"))
+	n.makeQuota()
 	entryOptions := entry.Options{
 		Offers:        n.offers,
+		Quota:         quotaAdapter{n.quota},
 		Started:       n.startupDone,
 		Service:       n.settings.GetPlatform().GetService(),
 		Headers:       n.headers(),
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -20,6 +20,7 @@
 		func() error { return n.controlServer.Stats().Observe(meter, "server") },
 		func() error { return n.observeBalancers(meter) },
 		func() error { return n.observeKeeper(meter) },
+		func() error { return n.quota.Observe(meter) },
 	} {
 		if err := register(); err != nil {
 			return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/platformlog"
 	"github.com/egretfield/egretfield/internal/quarantine"
+	"github.com/egretfield/egretfield/internal/quota"
 	"github.com/egretfield/egretfield/internal/settings"
 	"github.com/egretfield/egretfield/internal/telemetry"
 	"github.com/egretfield/egretfield/internal/version"
@@ -99,6 +100,8 @@
 	gate            *gate.Gate
 	quarantineTable *quarantine.Table
 	offers          *offer.Exchange
+	quota           *quota.Manager
+	quotaViews      quotaViews
 	receiver        *announce.Receiver
 	drain           *drainer
 
@@ -252,6 +255,7 @@
 // apply puts a configuration in force on this node.
 func (n *Node) apply(state *pb.ConfigState) {
 	n.refresh()
+	n.quota.SetCaps(state.GetConfig().GetOrganisations())
 	n.entry.SetRoutes(entry.NewRoutes(state.GetConfig(), state.GetPreset()))
 	n.limiter.SetLimits(budget.LimitsOf(config.BudgetOf(state)))
 	n.configureGate(state, n.members.Self().GetService())
@@ -310,6 +314,7 @@
 	}
 	group.Go(func() error { n.receiver.Run(ctx); return nil })
 	group.Go(func() error { n.drain.run(ctx); return nil })
+	group.Go(func() error { n.quota.Run(ctx); return nil })
 	group.Go(func() error {
 		for {
 			select {
@@ -317,6 +322,7 @@
 				return nil
 			case <-changed:
 				n.refresh()
+				n.quota.Refresh()
 			}
 		}
 	})
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -68,6 +68,7 @@
 		Config:         n.follower.Status(),
 		Services:       s.serviceSummaries(),
 		Measuring:      s.measuringUse(),
+		Quotas:         n.quota.Use(),
 	}
 }
 
