--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -110,6 +110,17 @@
 	if settings.GetBalancer() != "" {
 		c.oneOf("platform.balancer", settings.GetBalancer(), balance.Names())
 	}
+	if quota := settings.GetQuota(); quota != nil {
+		if quota.GetWindow() != "" {
+			c.duration("platform.quota.window", quota.GetWindow())
+		}
+		if quota.GetOvershoot() < 0 {
+			c.addf("platform.quota.overshoot", "got %g, expected a fraction of at least 0", quota.GetOvershoot())
+		}
+		if quota.GetSlack() < 0 {
+			c.addf("platform.quota.slack", "got %g, expected at least 0", quota.GetSlack())
+		}
+	}
 	if ratio := settings.GetRetryRatio(); ratio < 0 || ratio > 1 {
 		c.addf("platform.retry_ratio", "got %g, expected 0 to 1", ratio)
 	}
