Usage caps: two managers over sockets

Guards against managers and exchanges that don't fit together. Tests set the receiver before the exchange serves; setting it afterwards was a data race of the tests.

Measured: go test -race -count=5 ./internal/offer passes.

--- a/internal/offer/exchange_test.go
+++ b/internal/offer/exchange_test.go
@@ -18,11 +18,22 @@
 // startExchange returns an exchange that serves on a local socket until the test
 // ends.
 func startExchange(t *testing.T, key string, answer Answerer) *Exchange {
+	e := newExchange(t, key, answer)
+	serveExchange(t, e)
+	return e
+}
+
+// newExchange returns an exchange on a local socket that doesn't serve yet.
+func newExchange(t *testing.T, key string, answer Answerer) *Exchange {
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := New(conn, []byte(key), answer, allowAll, zap.NewNop())
+	return New(conn, []byte(key), answer, allowAll, zap.NewNop())
+}
+
+// serveExchange lets the exchange serve until the test ends.
+func serveExchange(t *testing.T, e *Exchange) {
 	served := make(chan error, 1)
 	go func() { served <- e.Serve() }()
 	t.Cleanup(func() {
@@ -31,7 +42,6 @@
 			t.Error(err)
 		}
 	})
-	return e
 }
 
 func allowAll(budget.Class, int) bool { return true }
--- a/internal/offer/quota_test.go
+++ b/internal/offer/quota_test.go
@@ -34,10 +34,12 @@
 func TestQuotaDatagrams(t *testing.T) {
 	const key = "a key of sixteen"
 	Convey("A request for tokens is answered with its number, within the budget", t, func() {
-		a, b := startExchange(t, key, answerWithWait(1)), startExchange(t, key, answerWithWait(1))
+		a, b := newExchange(t, key, answerWithWait(1)), newExchange(t, key, answerWithWait(1))
 		received := make(chan uint64, 1)
 		a.SetQuota(recordedQuota{grants: received})
 		b.SetQuota(recordedQuota{reply: &pb.QuotaGrant{Tokens: 3, Owner: true}})
+		serveExchange(t, a)
+		serveExchange(t, b)
 		So(a.SendQuotaRequest(b.ownAddress, 42, &pb.QuotaRequest{Organisation: "o", Wanted: 3}), ShouldBeTrue)
 		So(<-received, ShouldEqual, 42)
 		a.allow = func(class budget.Class, _ int) bool { return class != budget.ClassQuota }
@@ -46,6 +48,60 @@
 	})
 }
 
+// TestQuotaOverSockets guards against managers and exchanges that don't fit together: two
+// nodes own the parts of ten organisations, and each takes tokens from the other.
+func TestQuotaOverSockets(t *testing.T) {
+	Convey("Both nodes get tokens of all organisations, also from each other", t, func() {
+		const key = "a key of sixteen"
+		a, b := newExchange(t, key, answerWithWait(1)), newExchange(t, key, answerWithWait(1))
+		now := time.Now()
+		members := []quota.Member{
+			{Instance: "a", Region: "north", Address: a.ownAddress, Started: now},
+			{Instance: "b", Region: "north", Address: b.ownAddress, Started: now},
+		}
+		var organisations []*pb.Organisation
+		for i := range 10 {
+			organisations = append(organisations, &pb.Organisation{Name: string(rune('a' + i)), RatePerS: 100, Burst: 100})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var managers []*quota.Manager
+		for i, e := range []*Exchange{a, b} {
+			m := quota.NewManager(quota.Options{
+				Self:   members[i],
+				Limits: quota.NewLimits(quota.DefaultWindow, quota.DefaultOvershoot, quota.DefaultSlack),
+				View:   func() quota.View { return quota.View{Version: 1, Joined: true, Members: members} },
+				Send:   e.SendQuotaRequest,
+			})
+			m.SetCaps(organisations)
+			e.SetQuota(m)
+			serveExchange(t, e)
+			managers = append(managers, m)
+		}
+		for _, m := range managers {
+			go m.Run(ctx)
+		}
+		for _, m := range managers {
+			for _, o := range organisations {
+				So(acquired(m, o.GetName()), ShouldBeTrue)
+			}
+		}
+		So(a.Stats().QuotaRequests.Load(), ShouldBeGreaterThan, 0)
+		So(b.Stats().QuotaRequests.Load(), ShouldBeGreaterThan, 0)
+		So(a.Stats().QuotaGrants.Load(), ShouldBeGreaterThan, 0)
+	})
+}
+
+// acquired takes a token, in several tries because a busy machine delays datagrams.
+func acquired(m *quota.Manager, organisation string) bool {
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if _, ok := m.Begin(organisation).Wait(context.Background(), deadline); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // recordedQuota replies with a fixed grant and records the numbers of those received.
 type recordedQuota struct {
 	reply  *pb.QuotaGrant
