--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/platformlog"
 	"github.com/egretfield/egretfield/internal/quarantine"
+	"github.com/egretfield/egretfield/internal/quota"
 	"github.com/egretfield/egretfield/internal/settings"
 	"github.com/egretfield/egretfield/internal/telemetry"
 	"github.com/egretfield/egretfield/internal/version"
@@ -103,6 +104,8 @@
 	gate            *gate.Gate
 	quarantineTable *quarantine.Table
 	offers          *offer.Exchange
+	quota           *quota.Manager
+	quotaViews      quotaViews
 	receiver        *announce.Receiver
 	drain           *drainer
 
@@ -271,6 +274,7 @@
 	n.refresh()
 	routes := entry.NewRoutesOfState(state).AtVersion(state.GetVersion())
 	n.gate.SetKeys(routes.Keys())
+	n.quota.SetCaps(state.GetConfig().GetOrganisations())
 	n.entry.SetRoutes(routes)
 	n.limiter.SetLimits(budget.LimitsOf(config.BudgetOf(state)))
 	n.configureGate(state, cmp.Or(n.members.Self().GetService(), n.settings.GetPlatform().GetService()))
@@ -332,6 +336,7 @@
 	}
 	group.Go(func() error { n.receiver.Run(ctx); return nil })
 	group.Go(func() error { n.drain.run(ctx); return nil })
+	group.Go(func() error { n.quota.Run(ctx); return nil })
 	group.Go(func() error {
 		for {
 			select {
@@ -339,6 +344,7 @@
 				return nil
 			case <-changed:
 				n.refresh()
+				n.quota.Refresh()
 			}
 		}
 	})
