budget: one-time start credit for gossip and above

Cause: after a common start, member tables grew at the ordinary rate of gossip. Change: messages of class gossip and above that the limits refuse are charged to a credit (400,000 bytes, 400 messages, 26 ms) that expires 10 s after the start. In any time t a node sends at most rate x t + burst + credit. Result: TestBoundWithCredit passes for every window; it fails with the credit not spent, open to lower classes, or without expiry (each tried).

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -67,8 +67,17 @@
 	kib = 1024 // bytes
 	// burstPeriod is how long an unused allowance is kept.
 	burstPeriod = time.Second
+	// creditPeriod is how long after its start a node may use the start credit. Members
+	// that start together are known within 3 s at 660 nodes, and servers announce
+	// themselves within another 1.5 s.
+	creditPeriod = 10 * time.Second
 )
 
+// DefaultStartCredit is the one-time credit of a node for the exchange of member tables
+// after its start. One table of 660 members is 112 KB; with 250 KB, 660 nodes that started
+// together ran out of credit before they knew all members.
+var DefaultStartCredit = Credit{Bytes: 400_000, Messages: 400, CPUTime: 26 * time.Millisecond}
+
 // Limits are the allowances per second.
 type Limits struct {
 	Bytes    float64
@@ -89,6 +98,25 @@
 	return limits
 }
 
+// Credit is an allowance that a limiter grants once, in addition to its limits.
+type Credit struct {
+	Bytes    float64
+	Messages float64
+	CPUTime  time.Duration
+}
+
+// take takes a message's cost from the credit. It reports false, and takes nothing, if
+// any of the three doesn't suffice.
+func (c *Credit) take(bytes int, cpuTime time.Duration) bool {
+	if c.Bytes < float64(bytes) || c.Messages < 1 || c.CPUTime < cpuTime {
+		return false
+	}
+	c.Bytes -= float64(bytes)
+	c.Messages--
+	c.CPUTime -= cpuTime
+	return true
+}
+
 // bucket is a token bucket.
 type bucket struct {
 	ratePerSecond float64 // tokens
@@ -118,15 +146,27 @@
 	bytes      bucket
 	messages   bucket
 	cpuTime    bucket // in seconds
+	// credit is what is left of the start credit, which expires at creditExpires.
+	credit        Credit
+	creditExpires time.Time
 
 	allowed      [classCount]atomic.Uint64
 	allowedBytes [classCount]atomic.Uint64
 	dropped      [classCount]atomic.Uint64
 }
 
-// New returns a limiter with full allowances.
+// New returns a limiter with full allowances and no start credit.
 func New(limits Limits) *Limiter {
-	l := &Limiter{lastRefill: time.Now()}
+	return NewWithCredit(limits, Credit{})
+}
+
+// NewWithCredit returns a limiter with full allowances and a start credit. Messages of
+// ClassGossip and above that the limits refuse are charged to the credit instead, until
+// it is spent or creditPeriod has passed. In any time t the limiter therefore allows at
+// most the rate times t, the allowance of burstPeriod and the credit.
+func NewWithCredit(limits Limits, credit Credit) *Limiter {
+	now := time.Now()
+	l := &Limiter{lastRefill: now, credit: credit, creditExpires: now.Add(creditPeriod)}
 	l.SetLimits(limits)
 	l.bytes.tokens = l.bytes.capacity()
 	l.messages.tokens = l.messages.capacity()
@@ -147,23 +187,25 @@
 // Allow reports whether a message of the class may be sent, and takes its cost from
 // the allowances if so. A message counts once, at its sender.
 func (l *Limiter) Allow(class Class, bytes int) bool {
-	return l.allow(class, bytes, estimateCPUTime(bytes).Seconds())
+	return l.allow(class, bytes, estimateCPUTime(bytes))
 }
 
 // AllowDatagram is Allow for a datagram.
 func (l *Limiter) AllowDatagram(class Class, bytes int) bool {
-	return l.allow(class, bytes, CPUTimePerDatagram.Seconds())
+	return l.allow(class, bytes, CPUTimePerDatagram)
 }
 
-func (l *Limiter) allow(class Class, bytes int, cpuTime float64) bool {
+func (l *Limiter) allow(class Class, bytes int, cpuTime time.Duration) bool {
 	keepPercent := reservedPercent[class]
 	l.mu.Lock()
 	l.refill()
-	ok := l.bytes.canTake(float64(bytes), keepPercent) && l.messages.canTake(1, keepPercent) && l.cpuTime.canTake(cpuTime, keepPercent)
+	ok := l.bytes.canTake(float64(bytes), keepPercent) && l.messages.canTake(1, keepPercent) && l.cpuTime.canTake(cpuTime.Seconds(), keepPercent)
 	if ok {
 		l.bytes.tokens -= float64(bytes)
 		l.messages.tokens--
-		l.cpuTime.tokens -= cpuTime
+		l.cpuTime.tokens -= cpuTime.Seconds()
+	} else if class >= ClassGossip && l.lastRefill.Before(l.creditExpires) {
+		ok = l.credit.take(bytes, cpuTime)
 	}
 	l.mu.Unlock()
 	l.count(class, bytes, ok)
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -83,3 +83,60 @@
 		})
 	})
 }
+
+var testCredit = Credit{Bytes: 50_000, Messages: 70, CPUTime: 4 * time.Millisecond}
+
+// Guards against a start credit that is granted more than once, is open to classes below
+// gossip, or outlives its period: in any window a node may send the rate times the window,
+// one burst and, once, the credit.
+func TestBoundWithCredit(t *testing.T) {
+	const seconds = 20
+	all := []Class{ClassProbe, ClassReport, ClassRumor, ClassGossip, ClassLiveness, ClassLeave}
+	for _, size := range []int{20, 200, 2000} {
+		virtualtime.Test(t, func(t *testing.T) {
+			l := NewWithCredit(testLimits, testCredit)
+			// sent[i] is what was allowed up to the i-th tenth of a second.
+			var sent [][2]float64
+			for range seconds * 10 {
+				messages, bytes := allowedTotals(l)
+				sent = append(sent, [2]float64{float64(messages), float64(bytes)})
+				offerMessages(l, 100*time.Millisecond, 200, size, all...)
+			}
+			Convey("In no window is more allowed than the limits, a burst and the credit, nor without the credit once it has expired", t, func() {
+				for from := range sent {
+					credit := testCredit
+					if from >= int(creditPeriod/(100*time.Millisecond)) {
+						credit = Credit{}
+					}
+					for to := from; to < len(sent); to++ {
+						window := float64(to-from)/10 + 1
+						messages, bytes := sent[to][0]-sent[from][0], sent[to][1]-sent[from][1]
+						cpuTime := messages * float64(estimateCPUTime(size))
+						if messages > window*testLimits.Messages+credit.Messages+1e-6 || bytes > window*testLimits.Bytes+credit.Bytes+1e-6 ||
+							cpuTime > window*float64(testLimits.CPUTime)+float64(credit.CPUTime)+1 {
+							t.Fatalf("from %d to %d tenths of a second: %v messages, %v bytes", from, to, messages, bytes)
+						}
+					}
+				}
+				So(l.CreditLeft(), ShouldResemble, Credit{})
+			})
+		})
+	}
+	virtualtime.Test(t, func(t *testing.T) {
+		l := NewWithCredit(testLimits, testCredit)
+		time.Sleep(creditPeriod)
+		offerMessages(l, time.Second, 1000, 200, ClassGossip, ClassLeave)
+		Convey("A credit that wasn't used expires", t, func() {
+			messages, bytes := allowedTotals(l)
+			So(messages, ShouldBeLessThanOrEqualTo, 2*testLimits.Messages)
+			So(bytes, ShouldBeLessThanOrEqualTo, 2*testLimits.Bytes)
+		})
+	})
+	virtualtime.Test(t, func(t *testing.T) {
+		l := NewWithCredit(testLimits, testCredit)
+		offerMessages(l, time.Second, 1000, 200, ClassProbe, ClassReport, ClassRumor)
+		Convey("Classes below gossip don't use the credit", t, func() {
+			So(l.CreditLeft(), ShouldResemble, testCredit)
+		})
+	})
+}
--- a/internal/budget/totals.go
+++ b/internal/budget/totals.go
@@ -1,5 +1,7 @@
 package budget
 
+import "time"
+
 // Totals are the counts over all classes since the start.
 type Totals struct {
 	Messages uint64
@@ -24,3 +26,13 @@
 	defer l.mu.Unlock()
 	return l.bytes.ratePerSecond, l.messages.ratePerSecond
 }
+
+// CreditLeft returns what is left of the start credit; zero once it has expired.
+func (l *Limiter) CreditLeft() Credit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !time.Now().Before(l.creditExpires) {
+		return Credit{}
+	}
+	return l.credit
+}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -49,7 +49,7 @@
 	if n.controlServer, err = peer.NewServer(key, peer.Options{TLS: serverTLS, Logger: n.logger.Named("control")}); err != nil {
 		return err
 	}
-	n.limiter = budget.New(budget.LimitsOf(nil))
+	n.limiter = budget.NewWithCredit(budget.LimitsOf(nil), budget.DefaultStartCredit)
 	return n.makeLog(options)
 }
 
