member: spread many changes by syncs of tables

Cause: at a common start each node pushed each record to three others; 73 nodes under virtual time took 5.97 s (77 KB, 188 messages a node). Change: beyond eight new members a second, and while joining, nodes compare whole tables with one random member at a time; the reply has all that the asker lacks. A node without a peer tries three addresses a round. TestGossipStaysInItsShare waits until the start credit has expired; its bounds are unchanged. Before the change TestCommonStart (5.97 s), TestCommonStartOfFleet (11.8 s), TestFirstCommonStart (5.4 s) and TestHalfRestart (6.2 s) failed. TestRollingRestart passed before (510 ms) and guards against a regression.

--- a/internal/member/addresses.go
+++ b/internal/member/addresses.go
@@ -104,7 +104,11 @@
 	if !l.health.joined {
 		l.knownAddresses.tried[address] = true
 	}
+	joining := !l.health.joined
 	l.mu.Unlock()
+	if joining {
+		return l.join(address)
+	}
 	return l.exchange(address, nil)
 }
 
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -41,7 +41,9 @@
 	refreshing := !l.health.joined || l.health.refreshNeeded
 	l.mu.Unlock()
 	if partner == nil {
-		l.joinRound()
+		for range roundJoins {
+			l.spawn(l.joinRound)
+		}
 		return
 	}
 	reached := l.exchange(partner.ControlAddress, partner)
@@ -66,13 +68,13 @@
 	}
 	for i := 0; ; i++ {
 		asked := time.Now()
-		reply, err := l.callExchange(addr, request)
+		reply, err := l.callExchange(addr, request, exchangeTimeout)
 		if err != nil {
 			l.stats.failed.Add(1)
 			return false
 		}
 		l.handleDigests(addr, reply.Digests, asked)
-		next, done := l.handleReply(addr, reply, expected, i > 0)
+		next, done := l.handleReply(reply, expected, i > 0, l.roundBuckets(), maxSentRecords)
 		if done || i >= maxRepairs || !l.allow(budget.ClassGossip, next) {
 			return true
 		}
@@ -80,8 +82,19 @@
 	}
 }
 
-func (l *List) callExchange(addr string, request *pb.MemberExchange) (*pb.MemberExchange, error) {
-	ctx, cancel := context.WithTimeout(l.ctx, exchangeTimeout)
+// roundBuckets returns the number of buckets that one call of a round compares: none
+// while syncs run, which repair the same differences in fewer calls.
+func (l *List) roundBuckets() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.syncing {
+		return 0
+	}
+	return bucketsPerExchange
+}
+
+func (l *List) callExchange(addr string, request *pb.MemberExchange, timeout time.Duration) (*pb.MemberExchange, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, timeout)
 	defer cancel()
 	reply := &pb.MemberExchange{}
 	l.stats.exchanges.Add(1)
@@ -116,9 +129,9 @@
 }
 
 // handleReply merges a reply and builds the request that repairs the remaining
-// differences; done reports that there are none. On replies to a repair, repaired is
-// set.
-func (l *List) handleReply(addr string, reply *pb.MemberExchange, expected *pb.Member, repaired bool) (next *pb.MemberExchange, done bool) {
+// differences, with up to maxBuckets buckets and maxRecords records; done reports that
+// there is nothing to send. On replies to a repair, repaired is set.
+func (l *List) handleReply(reply *pb.MemberExchange, expected *pb.Member, repaired bool, maxBuckets, maxRecords int) (next *pb.MemberExchange, done bool) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -128,30 +141,29 @@
 	toSend = append(toSend, l.table.entriesByKey(reply.Wanted)...)
 	l.handleRumors(reply.Rumors, now)
 	next = l.newExchangeLocked(false)
-	next.Records = toWire(toSend, now)
+	next.Records = toWire(toSend, maxRecords, now)
 	differingBuckets := l.table.differingBuckets(reply.BucketHashes)
-	if len(differingBuckets) > 0 {
+	if len(differingBuckets) > 0 && maxBuckets > 0 {
 		next.TableHash = l.table.hash
-		next.Buckets = l.table.digest(l.sampleBuckets(differingBuckets))
+		next.Buckets = l.table.digest(l.sampleBuckets(differingBuckets, maxBuckets))
 	}
 	equal := reply.TableHash != 0 && reply.TableHash == l.table.hash
 	if equal || repaired && len(differingBuckets) == 0 && len(reply.BucketHashes) > 0 {
 		l.noteRefreshed(now)
 	}
-	return next, len(next.Records) == 0 && len(differingBuckets) == 0
+	return next, len(next.Records) == 0 && len(next.Buckets) == 0
 }
 
-// sampleBuckets returns up to bucketsPerExchange of the buckets at random. The
-// caller holds mu.
-func (l *List) sampleBuckets(buckets []int) []int {
+// sampleBuckets returns up to max of the buckets at random. The caller holds mu.
+func (l *List) sampleBuckets(buckets []int, max int) []int {
 	l.rand.Shuffle(len(buckets), func(i, j int) { buckets[i], buckets[j] = buckets[j], buckets[i] })
-	return buckets[:min(len(buckets), bucketsPerExchange)]
+	return buckets[:min(len(buckets), max)]
 }
 
-// toWire returns the records of entries to send, at most maxSentRecords.
-func toWire(entries []*entry, now time.Time) []*pb.MemberRecord {
+// toWire returns the records of entries to send, at most max.
+func toWire(entries []*entry, max int, now time.Time) []*pb.MemberRecord {
 	var out []*pb.MemberRecord
-	for _, e := range entries[:min(len(entries), maxSentRecords)] {
+	for _, e := range entries[:min(len(entries), max)] {
 		out = append(out, e.toWire(now))
 	}
 	return out
@@ -199,9 +211,13 @@
 	l.claimOwnAddress(r)
 }
 
-// disseminate queues a change for the next rounds and schedules its push. The
-// caller holds mu.
+// disseminate queues a change for the next rounds and schedules its push. While many
+// members change, it leaves the change to syncs. The caller holds mu.
 func (l *List) disseminate(instance string) {
+	if l.spreadsBySync(instance, time.Now()) {
+		l.startSync()
+		return
+	}
 	l.changeQueue.add(instance, l.table)
 	if l.flushScheduled || !l.started {
 		return
@@ -239,7 +255,7 @@
 		l.stats.skipped.Add(1)
 		return
 	}
-	reply, err := l.callExchange(target.ControlAddress, message)
+	reply, err := l.callExchange(target.ControlAddress, message, exchangeTimeout)
 	if err != nil {
 		return
 	}
--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -232,6 +232,7 @@
 func TestGossipStaysInItsShare(t *testing.T) {
 	const minutes = 2
 	inCluster(t, 8, func(c *cluster, nodes []*node) {
+		time.Sleep(10 * time.Second) // until the start credit has expired
 		before, _ := gossipTraffic(nodes[0])
 		_, bytesBefore := gossipTraffic(nodes[0])
 		// Every 10 ms, a rumor of the maximum size and a change of a member.
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -48,9 +48,14 @@
 	departures     []*pb.Departure
 	departuresRead bool
 	flushScheduled bool
-	started        bool
-	closed         bool
+	bulk           bulkDetector
+	// syncing reports whether syncUntilEqual runs or is scheduled.
+	syncing bool
+	started bool
+	closed  bool
 
+	// joinToken is held by the one of several concurrent joins that compares tables.
+	joinToken chan struct{}
 	// delegatedChecks holds a token for each check running on behalf of another node.
 	delegatedChecks chan struct{}
 	// timerHook, when set by a test, is called when a timer fires and delays it
@@ -70,7 +75,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &List{
 		opts:            opts,
-		gossipLimiter:   budget.New(opts.GossipLimits),
+		gossipLimiter:   budget.NewWithCredit(opts.GossipLimits, opts.StartCredit),
 		logger:          opts.Logger,
 		ctx:             ctx,
 		cancel:          cancel,
@@ -78,6 +83,7 @@
 		table:           newTable(),
 		watchers:        map[int]chan struct{}{},
 		checking:        map[string]bool{},
+		joinToken:       make(chan struct{}, 1),
 		delegatedChecks: make(chan struct{}, maxDelegatedChecks),
 
 		deliveries: make(chan func(), maxRumors),
--- a/internal/member/options.go
+++ b/internal/member/options.go
@@ -20,6 +20,15 @@
 	exchangeTimeout = 600 * time.Millisecond
 	// flushDelay is how long changes are collected before they are pushed.
 	flushDelay = 10 * time.Millisecond
+	// bulkWindow is the time within which bulkChanges changes count as a common start.
+	bulkWindow = time.Second
+	// syncInterval is the time between two syncs of a node that transfer many records,
+	// and maxSyncInterval that between syncs that transfer few.
+	syncInterval    = 20 * time.Millisecond
+	maxSyncInterval = 60 * time.Millisecond
+	// syncTimeout bounds one call of a sync. It is several times the round trip between
+	// regions.
+	syncTimeout = 200 * time.Millisecond
 	// directTimeout and indirectTimeout bound the direct and the indirect step of a
 	// check.
 	directTimeout   = 300 * time.Millisecond
@@ -73,6 +82,27 @@
 	maxSentRecords = 32
 	// maxRoundRecords bounds the recent changes sent in the message of a round.
 	maxRoundRecords = 8
+	// bulkChanges is the number of new or changed members within bulkWindow beyond which
+	// changes spread by comparing tables instead of being pushed by each node. It is
+	// above what single changes cause in a calm fleet.
+	bulkChanges = 8
+	// maxSyncRecords bounds the records in a message of a sync. Receivers accept
+	// maxReceivedRecords.
+	maxSyncRecords = maxReceivedRecords
+	// maxSyncDigest is the size of the largest table of which a sync sends all keys at
+	// once. Larger tables are compared by bucket first, which takes one call more.
+	maxSyncDigest = 128
+	// roundJoins is the number of addresses that a node without a reachable member tries
+	// in a round. After a common start, many of them may not be up yet.
+	roundJoins = 3
+	// fewRecords is the number of records up to which a sync transfers few.
+	fewRecords = 8
+	// equalSyncs is the number of successive syncs without a difference that ends a
+	// node's syncs, and failedSyncs that without an answer.
+	equalSyncs  = 2
+	failedSyncs = 5
+	// syncRegionPercent is the percentage of syncs with members of the own region.
+	syncRegionPercent = 67
 	// maxChecks bounds the checks that run concurrently.
 	maxChecks = 16
 	// maxDelegatedChecks bounds the checks that run concurrently on behalf of other
@@ -108,6 +138,9 @@
 	Budget Budget
 	// GossipLimits are the limits of gossip alone; zero: DefaultGossipLimits.
 	GossipLimits budget.Limits
+	// StartCredit is the one-time credit of gossip beyond GossipLimits; zero:
+	// budget.DefaultStartCredit.
+	StartCredit budget.Credit
 	// Logger receives a message for each change of state; nil: none is logged.
 	Logger *zap.Logger
 	// Incarnation is that of this start; zero: the wall clock in microseconds.
@@ -133,6 +166,9 @@
 	if o.GossipLimits == (budget.Limits{}) {
 		o.GossipLimits = DefaultGossipLimits
 	}
+	if o.StartCredit == (budget.Credit{}) {
+		o.StartCredit = budget.DefaultStartCredit
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
--- a/internal/member/rpc.go
+++ b/internal/member/rpc.go
@@ -39,17 +39,21 @@
 	toSend = append(toSend, l.accusedSender(args.From)...)
 	toSend = append(toSend, l.table.entriesByKey(args.Wanted)...)
 	l.handleRumors(args.Rumors, now)
+	maxRecords := maxSentRecords
+	if len(args.Buckets) > bucketsPerExchange {
+		maxRecords = maxSyncRecords
+	}
 	if compare {
 		reply.TableHash = l.table.hash
 		differing, wanted := l.table.compare(args.Buckets)
 		toSend = append(toSend, differing...)
-		reply.Wanted = wanted[:min(len(wanted), maxSentRecords)]
-		reply.Records = toWire(toSend, now)
+		reply.Wanted = wanted[:min(len(wanted), maxRecords)]
+		reply.Records = toWire(toSend, maxRecords, now)
 		l.addRoundData(args, reply, now)
 	} else {
-		reply.Records = toWire(toSend, now)
+		reply.Records = toWire(toSend, maxRecords, now)
 	}
-	if !l.allow(budget.ClassGossip, reply) {
+	if !l.allowReduced(reply) {
 		l.stats.skipped.Add(1)
 		reply.Records, reply.Rumors, reply.Wanted, reply.BucketHashes = nil, nil, nil, nil
 	}
