quota: owners grant 400 ms after the last growth of the view in a fleet that starts

Cause: after a power failure of all nodes of the deployment with 60 machines the members know each other within half a second since they are spread by syncs, but the owners of usage caps waited another second, in which all requests of organisations wait. Change: 400 ms instead of 1 s without growth.

--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -16,9 +16,9 @@
 	// owner has therefore stopped.
 	gainDelay = 3 * time.Second
 	// startDelay replaces gainDelay while the whole fleet starts: nobody has granted
-	// anything before, and tables of 60 members agree within a second of their last
-	// growth.
-	startDelay = time.Second
+	// anything before, and the tables of members that start together grow without a longer
+	// pause until they agree.
+	startDelay = 400 * time.Millisecond
 	// lateJoinDivisor: the start isn't over while more than 1/lateJoinDivisor of the
 	// members are new. 660 nodes need 33 s until the last one is known everywhere, and a
 	// few missing members change hardly any owner.
