--- a/internal/node/regions_test.go
+++ b/internal/node/regions_test.go
@@ -61,6 +61,9 @@
 		waitUntil(t, "server", func() bool { status, _ := send(); return status == http.StatusOK })
 
 		allow("south")
+		// The configuration is in force at the entry and the gate some time after the log has
+		// accepted it.
+		waitUntil(t, "refusal", func() bool { _, kind := send(); return kind == "region_not_allowed" })
 		before := runs.Load()
 		status, kind := send()
 		So(status, ShouldEqual, http.StatusServiceUnavailable)
@@ -73,8 +76,7 @@
 		So(runs.Load(), ShouldEqual, before)
 
 		allow("north")
-		status, _ = send()
-		So(status, ShouldEqual, http.StatusOK)
+		waitUntil(t, "answer", func() bool { status, _ := send(); return status == http.StatusOK })
 		So(runs.Load(), ShouldEqual, before+1)
 		// The entry states its version: a gate that lags doesn't judge its choice.
 		n.gate.SetRegionRules(balance.NewRegionRules(&pb.Config{
