hedge: decide when a slow request gets a second attempt

Cause: rare slow answers decide the 99th percentile, and retries don't help before a failure. Change: package hedge has the delay (quantile per route and service, at least two medians), the limit (tokens from requests, so it holds in any window), the reasons for withholding and the choice among offers. hedge_percent is checked in settings and configurations (0 to 20). quarantine.Suspects.

--- a/internal/config/rules_preset.go
+++ b/internal/config/rules_preset.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"github.com/egretfield/egretfield/internal/hedge"
 	"github.com/egretfield/egretfield/internal/pb"
 )
 
@@ -61,6 +62,7 @@
 		c.addf(path+".balancer", "got %q, expected one of %s", name, strings.Join(Balancers, ", "))
 	}
 	c.checkMax(path+".retry_budget_percent", uint64(policy.GetRetryBudgetPercent()), maxPercent, "percent")
+	c.checkMax(path+".hedge_percent", uint64(policy.GetHedgePercent()), hedge.MaxPercent, "percent")
 	c.checkMax(path+".max_attempts", uint64(policy.GetMaxAttempts()), maxAttempts, "attempts")
 	c.checkMax(path+".max_ejected_percent", uint64(policy.GetMaxEjectedPercent()), maxPercent, "percent")
 	c.checkMax(path+".queue_percent", uint64(policy.GetQueuePercent()), maxQueuePercent, "percent")
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -97,6 +97,16 @@
 	return ok && time.Now().Before(end)
 }
 
+// Suspects reports whether requests with the fingerprint may have crashed a backend
+// server.
+func (t *Table) Suspects(fingerprint uint64) bool {
+	if t == nil {
+		return false
+	}
+	snapshot := t.snapshot.Load()
+	return snapshot != nil && snapshot.suspects[fingerprint]
+}
+
 // ReportCrash reports to the fleet that a backend server crashed with the given
 // fingerprints in flight. At most MaxSuspects of them are used.
 func (t *Table) ReportCrash(inFlight []uint64) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/egretfield/egretfield/internal/balance"
+	"github.com/egretfield/egretfield/internal/hedge"
 	"github.com/egretfield/egretfield/internal/pb"
 )
 
@@ -127,6 +128,9 @@
 	if ratio := settings.GetRetryRatio(); ratio < 0 || ratio > 1 {
 		c.addf("platform.retry_ratio", "got %g, expected 0 to 1", ratio)
 	}
+	if percent := settings.GetHedgePercent(); percent > hedge.MaxPercent {
+		c.addf("platform.hedge_percent", "got %d, expected 0 to %d", percent, hedge.MaxPercent)
+	}
 	cold := settings.GetColdServers()
 	if overshoot := cold.GetOvershoot(); overshoot != 0 && !(overshoot >= 1 && overshoot <= maxColdOvershoot) {
 		c.addf("platform.cold_servers.overshoot", "got %g, expected 1 to %d", overshoot, maxColdOvershoot)
