entry: hedged attempts of slow idempotent requests

Change: a slow first attempt of an idempotent request with a held body or none is followed by one second attempt in the own region, by an offer to start at once, within the limit and the retry budget. Attempts run with copies of the call; package entry's sending holds what one attempt needs. The loser is cancelled and reported as such; no answer says "not run" if an attempt may have run. Metrics: hedges_sent, hedges_won, hedges_cancelled, hedges_withheld by reason. Mechanism off: without cancelling, TestHedging finds the loser running while the winner's body is delivered; without waiting for the other after a failure, without preferring the attempt that may have run and without ending the questions it fails; with a shared call the race detector reports it; without the retry budget 104 instead of less than 25 attempts (TestHedgingLimits); without the check for suspects TestHedgingWithheld fails. Counting both failures towards the limit of retries isn't shown by a test: with that off TestHedging passes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -172,6 +172,7 @@
 			retrySlack = s.retrySlack / float64(entries)
 		}
 		s.state.budget.SetWindow(s.retryWindow, retrySlack)
+		s.state.hedging.SetLimits(s.hedgePercent, s.retrySlack, entries)
 	}
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -47,7 +47,8 @@
 	regionsAtArrival *balance.RegionRules
 	// refusedRegions are the regions whose gates don't allow the request there.
 	refusedRegions []string
-	prefetchBuffer *[]byte // holds a prefetched answer
+	// sending is the attempt in progress, or the one whose answer is delivered.
+	sending sending
 
 	// authentication tells which organisation sent the request.
 	authentication
@@ -89,7 +90,7 @@
 	if x.cancel != nil {
 		x.cancel(nil)
 	}
-	x.releasePrefetchBuffer()
+	x.sending.releasePrefetchBuffer()
 	x.reportAttempt()
 }
 
@@ -98,7 +99,7 @@
 	if x.pending.Endpoint == nil {
 		return
 	}
-	x.countCrossRegionBytes(x.pending.Endpoint)
+	x.handler.countCrossRegionBytes(&x.pending)
 	x.balancer.Done(x.pending)
 	x.pending = balance.Result{}
 }
@@ -222,37 +223,39 @@
 		x.tried = x.triedArray[:0]
 	}
 	x.tried = append(x.tried, endpoint.Instance)
+	if plan, ok := x.planHedge(); ok {
+		return x.attemptHedged(ctx, endpoint, plan)
+	}
 	x.call.Attempt = x.handler.ids.Attempt(endpoint.Incarnation)
 	start := time.Now()
 	answer := x.send(ctx, endpoint)
-	x.pending.Latency = time.Since(start)
-	x.pending.Outcome = outcome(answer)
-	x.pending.Report = answer.Load
-	if answer.Load != nil {
-		answer.Load.Instance = endpoint.Instance
-	}
-	x.pending.Bytes = max(x.call.BodyBytes, 0)
+	x.setResult(answer, time.Since(start))
+	x.recordLatency()
 	x.recordAttempt(endpoint, answer)
 	return answer
 }
 
-// send sends the request to the endpoint's gate, in process if it is the local one.
-func (x *exchange) send(ctx context.Context, endpoint *balance.Endpoint) *wire.Answer {
-	local := x.handler.options.Local
-	if local == nil || endpoint.Instance != x.handler.options.Instance {
-		return x.sendRemote(ctx, endpoint)
-	}
-	answer := local.Do(ctx, &x.call)
-	if x.prefetch(answer) {
-		return answer
-	}
-	load := answer.Load
-	answer = wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_ANSWER_CUT, "the backend server's answer ended before its declared length")
-	if !time.Now().Before(x.call.Deadline) {
-		answer = wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DEADLINE_AFTER_SEND, "the deadline passed before the answer was complete")
+// setResult sets the result of the last attempt, which is reported to the balancer.
+func (x *exchange) setResult(answer *wire.Answer, latency time.Duration) {
+	setResult(&x.pending, answer, latency, x.call.BodyBytes)
+	x.noteOverload(answer)
+}
+
+func setResult(result *balance.Result, answer *wire.Answer, latency time.Duration, bodyBytes int64) {
+	result.Latency = latency
+	result.Outcome = outcome(answer)
+	result.Report = answer.Load
+	if answer.Load != nil {
+		answer.Load.Instance = result.Endpoint.Instance
 	}
-	answer.Load = load
-	return answer
+	result.Bytes = max(bodyBytes, 0)
+}
+
+// send sends the request to the endpoint's gate.
+func (x *exchange) send(ctx context.Context, endpoint *balance.Endpoint) *wire.Answer {
+	x.sending.handler, x.sending.call, x.sending.streamedBody = x.handler, &x.call, x.streamedBody
+	x.sending.endpoint = endpoint
+	return x.sending.send(ctx)
 }
 
 // outcome maps an answer to the outcome reported to the balancer.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -35,6 +35,7 @@
 	rejected         atomic.Int64
 	crossRegionBytes atomic.Int64
 	droppedLogLines  atomic.Int64
+	hedges           hedgeCounters
 	latency          metric.Float64Histogram
 	timeAdded        metric.Float64Histogram
 }
@@ -58,9 +59,9 @@
 }
 
 // countCrossRegionBytes counts the bytes of an attempt in another region.
-func (x *exchange) countCrossRegionBytes(endpoint *balance.Endpoint) {
-	if endpoint.Region != x.handler.options.Region {
-		x.handler.metrics.crossRegionBytes.Add(x.pending.Bytes)
+func (h *Handler) countCrossRegionBytes(result *balance.Result) {
+	if result.Endpoint.Region != h.options.Region {
+		h.metrics.crossRegionBytes.Add(result.Bytes)
 	}
 }
 
@@ -91,6 +92,9 @@
 	}{
 		{"egretfield.entry.rejected", "Requests that named no known service.", h.metrics.rejected.Load},
 		{"egretfield.entry.retries", "Attempts after the first.", h.metrics.retries.Load},
+		{"egretfield.entry.hedges_sent", "Hedged attempts.", h.metrics.hedges.sent.Load},
+		{"egretfield.entry.hedges_won", "Hedged attempts whose answer was delivered.", h.metrics.hedges.won.Load},
+		{"egretfield.entry.hedges_cancelled", "Attempts cancelled because another attempt of the request was answered first.", h.metrics.hedges.cancelled.Load},
 		{"egretfield.entry.lost_connections", "Attempts whose connection to a gate was lost.", h.metrics.lostConnections.Load},
 		{"egretfield.entry.recovered_answers", "Lost answers fetched over a control call.", h.metrics.recoveredAnswers.Load},
 		{"egretfield.entry.unfinished_keys", "Outcomes of keys that their keeper didn't record.", h.metrics.unfinishedKeys.Load},
@@ -100,7 +104,9 @@
 	}
 	byOrganisation, _ := meter.Int64ObservableCounter("egretfield.entry.organisation_answers",
 		metric.WithDescription("Answers by organisation and result, for those with the most requests; the others are counted together."))
-	instruments := []metric.Observable{answers, byOrganisation}
+	withheld, _ := meter.Int64ObservableCounter("egretfield.entry.hedges_withheld",
+		metric.WithDescription("Slow requests without a hedged attempt, by reason."))
+	instruments := []metric.Observable{answers, byOrganisation, withheld}
 	counters := make([]metric.Int64ObservableCounter, len(definitions))
 	for i, definition := range definitions {
 		counters[i], _ = meter.Int64ObservableCounter(definition.name, metric.WithDescription(definition.help))
@@ -112,6 +118,7 @@
 		}
 		h.observeAnswers(o, answers)
 		h.observeOrganisations(o, byOrganisation)
+		h.metrics.hedges.observeWithheld(o, withheld)
 		return nil
 	}, instruments...)
 	if err != nil {
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -76,6 +76,7 @@
 		return endpoint, nil
 	}
 	if wait, refused := balance.ShortestRefusalWait(offers); refused {
+		x.service.state.hedging.RecordRefusal(time.Now())
 		x.retryAfter = admission.RetryAfter(wait)
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_OVERLOADED, "every gate that was asked would refuse")
 	}
--- a/internal/entry/prefetch.go
+++ b/internal/entry/prefetch.go
@@ -19,14 +19,14 @@
 
 // prefetch reads the body of a small answer into memory. It returns false and closes
 // the body if the answer was truncated.
-func (x *exchange) prefetch(answer *wire.Answer) bool {
+func (s *sending) prefetch(answer *wire.Answer) bool {
 	if answer.Kind != 0 || answer.Body == nil || answer.BodyBytes <= 0 || answer.BodyBytes > maxPrefetchBytes {
 		return true
 	}
-	if x.prefetchBuffer == nil {
-		x.prefetchBuffer = prefetchBuffers.Get().(*[]byte)
+	if s.prefetchBuffer == nil {
+		s.prefetchBuffer = prefetchBuffers.Get().(*[]byte)
 	}
-	body := (*x.prefetchBuffer)[:answer.BodyBytes]
+	body := (*s.prefetchBuffer)[:answer.BodyBytes]
 	_, err := io.ReadFull(answer.Body, body)
 	_ = answer.Body.Close() // the body was read completely or failed
 	if err != nil {
@@ -36,8 +36,9 @@
 	return true
 }
 
-func (x *exchange) releasePrefetchBuffer() {
-	if x.prefetchBuffer != nil {
-		prefetchBuffers.Put(x.prefetchBuffer)
+func (s *sending) releasePrefetchBuffer() {
+	if s.prefetchBuffer != nil {
+		prefetchBuffers.Put(s.prefetchBuffer)
+		s.prefetchBuffer = nil
 	}
 }
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -51,6 +51,7 @@
 		return refusal
 	}
 	x.service.state.budget.RecordRequest()
+	x.service.state.hedging.RecordRequest()
 	x.maxBodyBytes = routes.limits.bodyLimit(x.route)
 	x.call = wire.Call{
 		Meta: wire.Meta{
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/delay"
 	"github.com/egretfield/egretfield/internal/gate"
 	"github.com/egretfield/egretfield/internal/pb"
@@ -26,24 +25,23 @@
 
 // remoteAttempt is an attempt sent to the gate of another node.
 type remoteAttempt struct {
-	x        *exchange
-	endpoint *balance.Endpoint
+	*sending
 	// reply is the attempt's state that the gate reported, or nil.
 	reply *pb.AttemptReply
 }
 
 // sendRemote sends the request to another node's gate.
-func (x *exchange) sendRemote(ctx context.Context, endpoint *balance.Endpoint) *wire.Answer {
-	a := &remoteAttempt{x: x, endpoint: endpoint}
-	answer, err := x.handler.client.Do(ctx, wire.SendParams{
-		Addr:  endpoint.GateAddress,
-		Call:  &x.call,
+func (s *sending) sendRemote(ctx context.Context) *wire.Answer {
+	a := &remoteAttempt{sending: s}
+	answer, err := s.handler.client.Do(ctx, wire.SendParams{
+		Addr:  s.endpoint.GateAddress,
+		Call:  s.call,
 		Check: a.checkConnection,
 	})
 	if err != nil {
 		return a.failureAnswer(ctx, err)
 	}
-	if !x.prefetch(answer) {
+	if !s.prefetch(answer) {
 		return a.failureAnswer(ctx, errAnswerTruncated)
 	}
 	return answer
@@ -66,7 +64,7 @@
 		a.reply = reply
 		return wire.VerdictBroken
 	}
-	if a.x.call.Idempotent {
+	if a.call.Idempotent {
 		return wire.VerdictBroken
 	}
 	return wire.VerdictWait
@@ -78,14 +76,14 @@
 var errNoControlClient = errors.New("no control client, or no control address of the gate")
 
 func (a *remoteAttempt) query(ctx context.Context) (*pb.AttemptReply, error) {
-	if a.x.handler.options.ControlClient == nil || a.endpoint.ControlAddress == "" {
+	if a.handler.options.ControlClient == nil || a.endpoint.ControlAddress == "" {
 		return nil, errNoControlClient
 	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	reply := &pb.AttemptReply{}
-	query := &pb.AttemptQuery{AttemptId: a.x.call.Attempt.String()}
-	err := a.x.handler.options.ControlClient.Call(ctx, a.endpoint.ControlAddress, gate.MethodAttempt, query, reply)
+	query := &pb.AttemptQuery{AttemptId: a.call.Attempt.String()}
+	err := a.handler.options.ControlClient.Call(ctx, a.endpoint.ControlAddress, gate.MethodAttempt, query, reply)
 	return reply, err
 }
 
@@ -97,12 +95,12 @@
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "the backend server's node is unreachable")
 	case ctx.Err() != nil:
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_CANCELLED, "the caller disconnected")
-	case a.x.streamedBody != nil && a.x.streamedBody.failed.Load():
+	case a.streamedBody != nil && a.streamedBody.failed.Load():
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_CANCELLED, "the request body broke off or exceeded the limit after a part was forwarded")
-	case !time.Now().Before(a.x.call.Deadline):
+	case !time.Now().Before(a.call.Deadline):
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DEADLINE_AFTER_SEND, "the deadline passed before the answer arrived")
 	}
-	a.x.handler.metrics.lostConnections.Add(1)
+	a.handler.metrics.lostConnections.Add(1)
 	return a.resolveLost(ctx)
 }
 
@@ -110,7 +108,7 @@
 // kept it, or an error answer. It asks the gate for the attempt's state unless that is
 // known or the request is idempotent.
 func (a *remoteAttempt) resolveLost(ctx context.Context) *wire.Answer {
-	if a.reply == nil && !a.x.call.Idempotent {
+	if a.reply == nil && !a.call.Idempotent {
 		a.reply = a.waitForState(ctx)
 	}
 	switch a.reply.GetState() {
@@ -120,7 +118,7 @@
 		return answer
 	case pb.AttemptState_ATTEMPT_STATE_DONE:
 		if a.reply.AnswerKept {
-			a.x.handler.metrics.recoveredAnswers.Add(1)
+			a.handler.metrics.recoveredAnswers.Add(1)
 			return wire.RestoreAnswer(a.reply.Answer)
 		}
 	}
@@ -132,7 +130,7 @@
 // waitForState queries the gate until the attempt has ended, the deadline has passed or
 // maxQueryFailures queries have failed. It returns nil if the state stays unknown.
 func (a *remoteAttempt) waitForState(ctx context.Context) *pb.AttemptReply {
-	ctx, cancel := context.WithDeadline(ctx, a.x.call.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, a.call.Deadline)
 	defer cancel()
 	failures := 0
 	for interval := minQueryInterval; ; interval = min(2*interval, maxQueryInterval) {
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -7,6 +7,7 @@
 
 	"github.com/egretfield/egretfield/internal/apikey"
 	"github.com/egretfield/egretfield/internal/balance"
+	"github.com/egretfield/egretfield/internal/hedge"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/retry"
 )
@@ -55,12 +56,15 @@
 	// retryWindow disables this limit.
 	retryWindow time.Duration
 	retrySlack  float64
-	state       *serviceState
+	// hedgePercent limits the hedged attempts of the whole fleet; zero means none.
+	hedgePercent uint32
+	state        *serviceState
 }
 
 // serviceState is the state of a service that is kept across snapshots.
 type serviceState struct {
 	budget   *retry.Budget
+	hedging  hedge.Service
 	counters serviceCounters
 }
 
@@ -154,6 +158,7 @@
 		retryBudgetPercent: policy.GetRetryBudgetPercent(),
 		retryWindow:        time.Duration(policy.GetRetryWindowMs()) * time.Millisecond,
 		retrySlack:         float64(policy.GetRetrySlack()),
+		hedgePercent:       policy.GetHedgePercent(),
 	}
 	if s.maxAttempts == 0 {
 		s.maxAttempts = DefaultMaxAttempts
