entry: test of two hedged attempts that both get 503

Cause: TestHedging had no case of two servers that answer 503 themselves. Change: such a case. It guards against further runs at the two servers. It doesn't show the counting of both failures towards the limit of retries: with that off a retry is allowed but finds no untried server among two, and the test passes. A fleet of three servers is needed for it.

--- a/internal/entry/hedging_test.go
+++ b/internal/entry/hedging_test.go
@@ -351,6 +351,23 @@
 		expectNothingLeft(out)
 	})
 
+	out = hedgeCase(t, 20, nil, func(f *hedgeFleet) hedgeAnswer {
+		unavailableAfter := func(d time.Duration) http.HandlerFunc {
+			return func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(d)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}
+		f.servers[0].answers(unavailableAfter(8 * hedgeUsual))
+		f.servers[1].answers(unavailableAfter(hedgeUsual))
+		return f.send("/x")
+	})
+	Convey("When both servers answer 503, the request isn't retried on top", t, func() {
+		So(out.code, ShouldEqual, http.StatusServiceUnavailable)
+		So(out.runs, ShouldResemble, [2]int64{1, 1})
+		expectNothingLeft(out)
+	})
+
 	out = hedgeCase(t, 20, nil, func(f *hedgeFleet) hedgeAnswer {
 		f.gates[1].SetDraining(true)
 		f.servers[0].answers(answerAfter(8*hedgeUsual, "first"))
