entry: no hedged attempt where a request may reach one backend server only

Cause: a hedged attempt didn't count against the limit of attempts: with a limit of one, two servers ran the request. Change: the first attempt is hedged only if a second one is allowed. Result: the new case of TestHedgingWithheld failed before (one run at the second server); the hedging tests of entry pass.

--- a/internal/entry/hedging.go
+++ b/internal/entry/hedging.go
@@ -44,8 +44,8 @@
 // latency is then measured. Calls of other servers aren't hedged, as a hedged attempt of
 // their caller would multiply them.
 func (x *exchange) mayHedge() bool {
-	return x.service.state.hedging.Enabled() && x.attempts == 1 && x.call.Idempotent && x.call.Depth == 0 &&
-		!x.call.Streams() && x.handler.options.Offers != nil
+	return x.service.state.hedging.Enabled() && x.attempts == 1 && x.maxAttempts() > 1 && x.call.Idempotent &&
+		x.call.Depth == 0 && !x.call.Streams() && x.handler.options.Offers != nil
 }
 
 func (x *exchange) hedgeRoute() *hedge.Estimator {
--- a/internal/entry/hedging_test.go
+++ b/internal/entry/hedging_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"go.opentelemetry.io/otel/sdk/metric"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/entry"
@@ -536,6 +537,12 @@
 		{"for a request that isn't idempotent", "", 20, func(f *hedgeFleet) hedgeAnswer {
 			return f.do(httptest.NewRequest(http.MethodPost, "/svc/orders/x", nil))
 		}},
+		{"where the policy allows one attempt", "", 20, func(f *hedgeFleet) hedgeAnswer {
+			policy := proto.CloneOf(f.config.GetPresets()[0].GetPolicy())
+			policy.MaxAttempts = 1
+			f.entry.SetRoutes(entry.NewRoutes(&pb.Config{Services: f.config.GetServices(), Presets: []*pb.Preset{{Name: "p", Policy: policy}}}, "p"))
+			return f.send("/x")
+		}},
 		{"for a streamed body", "", 20, func(f *hedgeFleet) hedgeAnswer {
 			r := httptest.NewRequest(http.MethodPut, "/svc/orders/x", strings.NewReader("body"))
 			r.ContentLength = -1
