admission: schedule of promises to the returns of refused requests

Cause: callers who are refused together are told the same short wait and return into a queue that is still full.

Change: Schedule gives the return of a refused request a time of its own, by class, at a share of the server's rate, as long as it is of use to the caller. A request that returns at its time goes before others of its class and organisation.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -22,6 +22,11 @@
 	// ServiceTime is the expected time that the backend server takes at normal
 	// speed.
 	ServiceTime time.Duration
+	// Fingerprint is equal for a request and its return after a refusal; zero: unknown.
+	Fingerprint uint64
+	// hasPlace: the request returns at the time that it was promised. It goes before others
+	// of its class and organisation.
+	hasPlace bool
 }
 
 // latestStart returns the last time at which the request can start and still be
@@ -91,7 +96,9 @@
 	// Rate is the request rate that the server takes.
 	Rate RateLimit
 	// Cold limits the starts while the server is cold, or may be.
-	Cold         ColdLimit
+	Cold ColdLimit
+	// Places are the promises to requests that were refused.
+	Places       Schedule
 	limit        int
 	capacity     int
 	meanHoldTime time.Duration
@@ -133,6 +140,16 @@
 // Admit decides on a request that arrives. It returns the ticket of a request that
 // waits, and the ticket that was evicted to make room for it, if any.
 func (q *Queue) Admit(now time.Time, r Request) (verdict Verdict, ticket, evicted *Ticket) {
+	place := q.Places.find(now, &r)
+	r.hasPlace = place >= 0
+	verdict, ticket, evicted = q.admit(now, r)
+	if r.hasPlace && verdict != Refused {
+		q.Places.use(place)
+	}
+	return verdict, ticket, evicted
+}
+
+func (q *Queue) admit(now time.Time, r Request) (verdict Verdict, ticket, evicted *Ticket) {
 	if q.running < q.limit && len(q.waiting) == 0 && !r.isFasterAfterSlowdown(now, q.slowdown) && q.TakeStart(now) {
 		q.running++
 		q.shares.started(&r)
@@ -143,7 +160,7 @@
 	if !q.canStartInTime(now, ticket) {
 		return Refused, nil, nil
 	}
-	if len(q.waiting) >= q.capacity {
+	if !q.hasFreePlace(now, ticket) {
 		if evicted = q.evictionCandidate(now); !q.isEvictedFor(evicted, &r) {
 			return Refused, nil, nil
 		}
@@ -204,13 +221,16 @@
 	ServiceTime time.Duration
 	// AtOnce: it would start at once, and the server works at normal speed.
 	AtOnce bool
+	// HasPlace: it has a place that is due.
+	HasPlace bool
 }
 
 // Estimate returns what a request that arrives now can expect. It doesn't change
 // the queue.
 func (q *Queue) Estimate(now time.Time, r Request) QueueEstimate {
+	r.hasPlace = q.Places.find(now, &r) >= 0
 	t := q.newTicket(now, r, q.lastSequence+1)
-	estimate := QueueEstimate{Wait: q.expectedWait(now, t), ServiceTime: r.ServiceTime}
+	estimate := QueueEstimate{Wait: q.expectedWait(now, t), ServiceTime: r.ServiceTime, HasPlace: r.hasPlace}
 	if estimate.Wait < q.slowdown.Remaining {
 		estimate.ServiceTime = time.Duration(float64(r.ServiceTime) * q.slowdown.Factor)
 	}
@@ -223,10 +243,23 @@
 // hasCapacity reports whether the queue has a free place, or holds a request of a
 // lower class that can be evicted.
 func (q *Queue) hasCapacity(now time.Time, t *Ticket) bool {
-	if len(q.waiting) < q.capacity {
-		return true
+	return q.hasFreePlace(now, t) || q.isEvictedFor(q.evictionCandidate(now), &t.Request)
+}
+
+// maxReservedDivisor: at most 1/maxReservedDivisor of the queue is kept free for requests
+// with a promise. Slots would run empty without others that wait if these don't return.
+const maxReservedDivisor = 2
+
+// hasFreePlace reports whether the queue has a free place beside those that requests with a
+// promise will need while one that arrives now waits. Without these, each of them would
+// displace a request that has waited.
+func (q *Queue) hasFreePlace(now time.Time, t *Ticket) bool {
+	free := q.capacity - len(q.waiting)
+	if free <= 0 || t.hasPlace {
+		return free > 0
 	}
-	return q.isEvictedFor(q.evictionCandidate(now), &t.Request)
+	reserved := q.Places.reserved(now, q.expectedWaitBehind(len(q.waiting)), &t.Request)
+	return free > min(reserved, q.capacity/maxReservedDivisor)
 }
 
 // isEvictedFor reports whether a waiting request gives its place to one that arrives: it
@@ -239,8 +272,10 @@
 	case evicted.Class < r.Class:
 		return true
 	}
-	return evicted.Organisation != r.Organisation &&
-		q.shares.weightedHeld(&evicted.Request, -1) >= q.shares.weightedHeld(r, 1)
+	if evicted.Organisation == r.Organisation {
+		return r.hasPlace && !evicted.hasPlace
+	}
+	return q.shares.weightedHeld(&evicted.Request, -1) >= q.shares.weightedHeld(r, 1)
 }
 
 // canStartInTime reports whether a request that waits is expected to be answered
@@ -310,6 +345,9 @@
 	if a.Class != b.Class {
 		return a.Class > b.Class
 	}
+	if a.hasPlace != b.hasPlace {
+		return a.hasPlace
+	}
 	if onTime := a.meetsTarget(now); onTime != b.meetsTarget(now) {
 		return onTime
 	}
