gate: promise capacity to the returns of refused requests

Cause: the schedule of promises needs the request's identity, and a way to book that a question alone doesn't use.

Change: OfferQuestion has the request's fingerprint and book; Offer says whether the request has a promise now and when a refused one should return. Policy.promised_percent, on a platform platform.promised_percent, is the share of the server's rate; default 0, nothing changes. Nothing is promised while the server's rate is limited or it counts as cold. Metric egretfield_gate_promises_total by result.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -73,6 +73,7 @@
 		[]string{"c.yaml:11:28: presets[0].policy.probes_per_s: got 61, expected at most the preset's 60 messages/s"}},
 	{"lease", "balancer: p2c}", "balancer: p2c}\n    keeper_lease_s: 2", []string{"c.yaml:12:21: presets[0].keeper_lease_s: got 2, expected at least 5"}},
 	{"percent", "balancer: p2c}", "retry_budget_percent: 101}", []string{"got 101, expected at most 100 percent"}},
+	{"promised percent", "balancer: p2c}", "promised_percent: 101}", []string{"promised_percent", "got 101, expected at most 100 percent"}},
 }
 
 func TestParse(t *testing.T) {
--- a/internal/config/rules_preset.go
+++ b/internal/config/rules_preset.go
@@ -64,6 +64,7 @@
 	c.checkMax(path+".max_attempts", uint64(policy.GetMaxAttempts()), maxAttempts, "attempts")
 	c.checkMax(path+".max_ejected_percent", uint64(policy.GetMaxEjectedPercent()), maxPercent, "percent")
 	c.checkMax(path+".queue_percent", uint64(policy.GetQueuePercent()), maxQueuePercent, "percent")
+	c.checkMax(path+".promised_percent", uint64(policy.GetPromisedPercent()), maxPercent, "percent")
 	c.checkMax(path+".cross_region_bytes_per_s", policy.GetCrossRegionBytesPerS(), maxCrossRegionBytesPerS, "bytes/s")
 	c.checkMax(path+".warmup_ms", uint64(policy.GetWarmupMs()), maxWarmupMs, "ms")
 	if probes, limit := policy.GetProbesPerS(), budgetMessages(budget); probes > limit {
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -82,7 +82,7 @@
 
 // slotRequestOf returns the slot request of a call.
 func slotRequestOf(call *wire.Call) slotRequest {
-	return slotRequest{class: call.Class, organisation: call.Organisation, route: call.Route, target: call.Target, deadline: call.Deadline}
+	return slotRequest{class: call.Class, organisation: call.Organisation, route: call.Route, target: call.Target, deadline: call.Deadline, fingerprint: call.Fingerprint}
 }
 
 // run is a call that holds a slot.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -200,6 +200,12 @@
 	g.limiter.setQueuePercent(int(percent))
 }
 
+// SetPromisedPercent sets the share of the server's rate that is promised to the returns of
+// refused requests, in percent.
+func (g *Gate) SetPromisedPercent(percent uint32) {
+	g.limiter.setPromisedPercent(int(percent))
+}
+
 // SetDraining makes the gate refuse new requests while draining is true. Requests
 // in flight and in the queue are served.
 func (g *Gate) SetDraining(draining bool) {
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -31,8 +31,11 @@
 	mu           sync.Mutex
 	slots        int
 	queuePercent int
-	queue        admission.Queue
-	serviceTimes admission.ServiceTimes
+	// promisedPercent is the share of the server's rate that is promised to the returns of
+	// refused requests.
+	promisedPercent int
+	queue           admission.Queue
+	serviceTimes    admission.ServiceTimes
 	// resolutions receive 0 when the slot is granted, or the kind of the refusal.
 	resolutions map[*admission.Ticket]chan errkind.Kind
 	slowdowns   admission.SlowdownTracker
@@ -200,6 +203,8 @@
 	route        string
 	target       time.Time
 	deadline     time.Time
+	// fingerprint is equal for a request and its return after a refusal.
+	fingerprint uint64
 }
 
 // acquire takes a slot, waiting in the queue as long as the request can still be
@@ -286,6 +291,7 @@
 		Target:       s.target,
 		Deadline:     s.deadline,
 		ServiceTime:  l.serviceTimes.Estimate(s.route),
+		Fingerprint:  s.fingerprint,
 	}
 	if request.Target.IsZero() {
 		request.Target = s.deadline
@@ -439,6 +445,46 @@
 	return time.Duration(float64(l.serviceTimes.Estimate(route)) * l.slowdowns.Now(time.Now()).Factor)
 }
 
+// setPromisedPercent sets the share of the server's rate that is promised to the returns of
+// refused requests.
+func (l *limiter) setPromisedPercent(percent int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.promisedPercent = percent
+}
+
+// book promises capacity to the return of a refused request and returns the time until it,
+// or the wait of a request to which none can be promised. It returns false without a
+// schedule: none is configured, or the server's rate is limited, and its own wait holds.
+func (l *limiter) book(s slotRequest) (wait time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if !l.hasScheduleLocked(now) {
+		return 0, false
+	}
+	wait, _ = l.queue.Places.Book(now, l.requestLocked(s))
+	return wait, true
+}
+
+// hasScheduleLocked reports whether capacity is promised, and sets the rate of the promises.
+func (l *limiter) hasScheduleLocked(now time.Time) bool {
+	_, limited := l.queue.Rate.PerSecond()
+	holdTime := l.serviceTimes.MeanHoldTime()
+	if l.promisedPercent == 0 || limited || l.queue.Cold.IsCold(now) || holdTime <= 0 {
+		return false
+	}
+	l.queue.Places.SetRate(float64(l.queue.Limit()) / holdTime.Seconds() * float64(l.promisedPercent) / 100)
+	return true
+}
+
+// placeCounts returns the numbers of promises.
+func (l *limiter) placeCounts() admission.PlaceCounts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Places.Counts(time.Now())
+}
+
 // retryAfter returns the wait to suggest to a caller who is refused.
 func (l *limiter) retryAfter() time.Duration {
 	l.mu.Lock()
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -50,6 +50,7 @@
 	cold, _ := meter.Int64ObservableGauge("egretfield.gate.cold", metric.WithDescription("1 while the backend server counts as cold, else 0; absent for a service without a cold rate."))
 	coldRefusals, _ := meter.Int64ObservableCounter("egretfield.gate.cold_refusals", metric.WithDescription("Requests refused because the backend server is cold, or hasn't said that it is warm, by state."))
 	coldQuestions, _ := meter.Int64ObservableCounter("egretfield.gate.cold_questions", metric.WithDescription("Questions whether the backend server is cold, by result."))
+	promises, _ := meter.Int64ObservableCounter("egretfield.gate.promises", metric.WithDescription("Promises of capacity to the returns of refused requests: made, kept, and missed because the request didn't return in time or wasn't admitted."))
 	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g.observeAnswers(o, answers)
 		o.ObserveInt64(crashes, g.counters.crashes.Load())
@@ -63,12 +64,17 @@
 		if g.cold.enabled.Load() {
 			g.observeCold(o, cold, coldRefusals, coldQuestions)
 		}
+		if counts := g.limiter.placeCounts(); counts.Promised > 0 {
+			o.ObserveInt64(promises, int64(counts.Promised), metric.WithAttributes(attribute.String("result", "made")))
+			o.ObserveInt64(promises, int64(counts.Kept), metric.WithAttributes(attribute.String("result", "kept")))
+			o.ObserveInt64(promises, int64(counts.Missed), metric.WithAttributes(attribute.String("result", "missed")))
+		}
 		o.ObserveInt64(untraced, g.counters.untraced.Load())
 		report := g.Report()
 		o.ObserveInt64(running, int64(report.InFlight))
 		o.ObserveInt64(queued, int64(report.Queued))
 		return nil
-	}, answers, crashes, silentConnections, shed, probes, arrivals, rateLimit, cold, coldRefusals, coldQuestions, untraced, running, queued)
+	}, answers, crashes, silentConnections, shed, probes, arrivals, rateLimit, cold, coldRefusals, coldQuestions, promises, untraced, running, queued)
 	if err != nil {
 		g.logger.Error("gate metrics not registered", zap.Error(err))
 	}
--- a/internal/gate/offer.go
+++ b/internal/gate/offer.go
@@ -9,7 +9,8 @@
 )
 
 // Offer returns when the gate expects to answer a request that arrives now. It
-// reserves nothing: the request may still be refused when it arrives.
+// reserves nothing: the request may still be refused when it arrives. The reply to a
+// question with book says when a refused request should return.
 func (g *Gate) Offer(ctx context.Context, question *pb.OfferQuestion) *pb.Offer {
 	now := time.Now()
 	call := &wire.Call{Meta: wire.Meta{
@@ -17,6 +18,7 @@
 		Route:        question.GetRoute(),
 		Class:        question.GetClass(),
 		Organisation: question.GetOrganisation(),
+		Fingerprint:  question.GetFingerprint(),
 		Target:       now.Add(time.Duration(question.GetTargetUs()) * time.Microsecond),
 		Deadline:     now.Add(time.Duration(question.GetDeadlineUs()) * time.Microsecond),
 	}}
@@ -26,6 +28,13 @@
 		offer.Refused = true
 		return offer
 	}
+	if question.GetBook() {
+		offer.Refused = true
+		if wait, ok := g.limiter.book(slotRequestOf(call)); ok {
+			offer.ReturnAfterUs = uint32(wait.Microseconds())
+		}
+		return offer
+	}
 	g.refreshState(ctx, server, maxReportAgeForOffer)
 	g.askIfCold(server)
 	if server.notices.hasLeftBefore() {
@@ -46,6 +55,12 @@
 	estimate := l.queue.Estimate(now, l.requestLocked(s))
 	into.Refused = estimate.Refused
 	into.AtOnce = estimate.AtOnce
+	into.Promised = estimate.HasPlace
+	if estimate.Refused && s.fingerprint != 0 && l.hasScheduleLocked(now) {
+		if wait, isLater := l.queue.Places.Later(now, l.requestLocked(s)); isLater {
+			into.ReturnAfterUs = uint32(wait.Microseconds())
+		}
+	}
 	into.WaitUs = uint32(estimate.Wait.Microseconds())
 	if l.serviceTimes.IsMeasured(s.route) {
 		// The mean of other routes would mislead: it may be that of one cold request.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -219,7 +219,9 @@
 // configureGate applies the configuration of the backend server's service to the gate.
 func (n *Node) configureGate(state *pb.ConfigState, service string) {
 	if state != nil {
-		n.gate.SetQueuePercent(config.PolicyOf(state, service).GetQueuePercent())
+		policy := config.PolicyOf(state, service)
+		n.gate.SetQueuePercent(policy.GetQueuePercent())
+		n.gate.SetPromisedPercent(policy.GetPromisedPercent())
 		n.gate.SetHealthPath(config.HealthPathOf(state.GetConfig(), service))
 		n.gate.SetColdBounds(n.coldBounds(state.GetConfig(), service))
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -29,6 +29,8 @@
 	maxColdOvershoot = 10
 	maxColdSlack     = 10_000
 
+	maxPromisedPercent = 100
+
 	maxPipelineDepth      = 64
 	maxPipelineConcurrent = 4096
 	// A read of later requests takes up to 4 KiB.
@@ -124,6 +126,9 @@
 			c.addf("platform.quota.slack", "got %g, expected at least 0", quota.GetSlack())
 		}
 	}
+	if percent := settings.GetPromisedPercent(); percent > maxPromisedPercent {
+		c.addf("platform.promised_percent", "got %d, expected at most %d percent", percent, maxPromisedPercent)
+	}
 	if ratio := settings.GetRetryRatio(); ratio < 0 || ratio > 1 {
 		c.addf("platform.retry_ratio", "got %g, expected 0 to 1", ratio)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,6 +47,7 @@
 			"pipelining: {unread_kib: 2}":                "n.yaml:6:26: pipelining.unread_kib: got 2, expected 4 to 1024",
 			"platform: {cold_servers: {overshoot: 0.9}}": "n.yaml:6:38: platform.cold_servers.overshoot: got 0.9, expected 1 to 10",
 			"platform: {cold_servers: {slack: -1}}":      "n.yaml:6:34: platform.cold_servers.slack: got -1, expected 0 to 10000 requests",
+			"platform: {promised_percent: 101}":          "n.yaml:6:30: platform.promised_percent: got 101, expected at most 100 percent",
 			"gc_percent: 5":                              "n.yaml:6:13: gc_percent: got 5, expected 25 to 2000",
 			"memory_limit_mib: 1":                        "n.yaml:6:19: memory_limit_mib: got 1, expected at least 32",
 			"log_retention_s: 5":                         "n.yaml:6:18: log_retention_s: got 5, expected at least 4200",
