entry: refused callers are told the time promised by the request's home gate

Cause: an entry told all refused callers about the shortest wait among the gates that it had asked.

Change: a request's home gate is chosen by rendezvous hash of its fingerprint over the region's endpoints (Placer.Home), so its return finds the promise through any entry. It is one of the five gates asked; a promised offer goes before all others. A refused request is booked there with one more question, unless the home gate has said that it can promise nothing in time. Without a reply the wait is as before. Off without promised_percent.

--- a/internal/balance/offers.go
+++ b/internal/balance/offers.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
 )
@@ -35,13 +37,19 @@
 	Local(info PickInfo, limit int) []*Endpoint
 	// Remote returns up to limit endpoints of other allowed regions to ask for offers.
 	Remote(info PickInfo, limit int) []*Endpoint
+	// Home returns the endpoint of the own region whose gate promises capacity to the return
+	// of a refused request with that fingerprint. All entries of a region with the same
+	// endpoints return the same one. It returns nil if no promises are made, or if that
+	// endpoint is ejected here.
+	Home(info PickInfo, fingerprint uint64) *Endpoint
 	// RemoteRoundTrip returns the mean round-trip time of an offer question to another
 	// region; zero if unknown.
 	RemoteRoundTrip() time.Duration
 	// Best returns the offer with the lowest expected cost, or nil if all offers are
 	// refusals. The cost of a server's failures grows with the time until the
-	// request's target. Offers of the own data centre that are expected to answer at
-	// once and well before the target go before all others for most requests.
+	// request's target. An offer that keeps a promise goes before all others. For most
+	// requests, offers of the own data centre that are expected to answer at once and well
+	// before the target go before the rest.
 	Best(offers []EndpointOffer, untilTarget time.Duration) *EndpointOffer
 	// Take picks this endpoint; as after Pick, one Done must follow.
 	Take(endpoint *Endpoint, info PickInfo) (*Endpoint, error)
@@ -62,6 +70,11 @@
 	// AtOnce reports whether the request would start at once, at the server's normal
 	// speed.
 	AtOnce bool
+	// Promised reports whether the gate has promised capacity to the request for now.
+	Promised bool
+	// ReturnAfter is the wait after which a refused request should return if the gate can
+	// promise it nothing in time; zero: it can, or promises nothing.
+	ReturnAfter time.Duration
 }
 
 // maxReliableErrorRate is the highest error rate at which a server is considered
@@ -92,6 +105,38 @@
 	return p.shortlist(p.current.Load().remote, info, limit)
 }
 
+// Home implements Placer. The choice disregards what only this entry knows of the endpoints,
+// since the request may return through another one.
+func (p *pool) Home(info PickInfo, fingerprint uint64) *Endpoint {
+	snap := p.current.Load()
+	if !snap.promises {
+		return nil
+	}
+	var home *endpointState
+	var highest uint64
+	for _, s := range snap.local {
+		if !info.Regions.Allows(s.endpoint.Region) {
+			continue
+		}
+		if weight := homeWeight(s.endpoint.Instance, fingerprint); home == nil || weight > highest {
+			home, highest = s, weight
+		}
+	}
+	if home == nil || home.ejectionState.ejected(timeNow()) {
+		return nil
+	}
+	return home.endpoint
+}
+
+// homeWeight returns the weight of an endpoint for a fingerprint in rendezvous hashing, so
+// that an endpoint that joins or leaves changes the home of its own share only.
+func homeWeight(instance string, fingerprint uint64) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(fingerprint)
+	_, _ = digest.WriteString(instance)
+	return digest.Sum64()
+}
+
 // untriedPosition is the position in a shortlist of an endpoint that this entry has not
 // sent anything yet. It is among those asked first, behind one that is known.
 const untriedPosition = 1
@@ -152,6 +197,11 @@
 // Best implements Placer.
 func (p *pool) Best(offers []EndpointOffer, untilTarget time.Duration) *EndpointOffer {
 	p.observeRoundTrips(offers)
+	for i := range offers {
+		if o := &offers[i]; o.Promised && !o.Refused && o.ErrorRate <= maxReliableErrorRate {
+			return o
+		}
+	}
 	longest := longestServiceTime(offers)
 	early, near := p.earlyAnswers(offers, longest, untilTarget)
 	if len(early) > 0 && p.options.Rand()%exploreInterval == 0 {
--- a/internal/balance/offers_test.go
+++ b/internal/balance/offers_test.go
@@ -205,3 +205,54 @@
 		})
 	})
 }
+
+// Guards against entries that look for a request's promise at different gates, and against
+// one endpoint that leaves and moves the promises of the others.
+func TestHome(t *testing.T) {
+	Convey("Given entries that list the same endpoints in another order", t, func() {
+		var endpoints, reversed []*Endpoint
+		for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+			endpoints = append(endpoints, endpointIn(name, "north"))
+		}
+		for i := range endpoints {
+			reversed = append(reversed, endpoints[len(endpoints)-1-i])
+		}
+		policy := &pb.Policy{PromisedPercent: 25}
+		p, other := placerAt("a"), placerAt("f")
+		p.Update(append(endpoints, endpointIn("far", "south")), policy)
+		other.Update(reversed, policy)
+
+		Convey("they agree on the home of a request, whatever it has tried, and spread requests", func() {
+			requests := map[string]int{}
+			for fingerprint := range uint64(600) {
+				home := p.Home(PickInfo{}, fingerprint)
+				So(other.Home(PickInfo{Tried: []string{home.Instance}}, fingerprint), ShouldEqual, home)
+				requests[home.Instance]++
+			}
+			So(requests, ShouldHaveLength, 6)
+			for _, n := range requests {
+				So(n, ShouldBeBetween, 60, 150)
+			}
+		})
+		Convey("an endpoint that leaves changes the home of its own requests only", func() {
+			other.Update(endpoints[1:], policy)
+			for fingerprint := range uint64(100) {
+				if home := p.Home(PickInfo{}, fingerprint); home != endpoints[0] {
+					So(other.Home(PickInfo{}, fingerprint), ShouldEqual, home)
+				}
+			}
+		})
+		Convey("there is none in a region that isn't allowed, or without promises", func() {
+			So(p.Home(PickInfo{Regions: RegionFilter{Route: []string{"south"}}}, 1), ShouldBeNil)
+			p.Update(endpoints, &pb.Policy{})
+			So(p.Home(PickInfo{}, 1), ShouldBeNil)
+		})
+		Convey("an offer of a promised place goes before others", func() {
+			offers := []EndpointOffer{offerOf(endpoints[0], 0, time.Millisecond), offerOf(endpoints[1], 10*time.Millisecond, 10*time.Millisecond)}
+			offers[1].Promised = true
+			So(p.Best(offers, time.Second), ShouldEqual, &offers[1])
+			offers[1].Refused = true
+			So(p.Best(offers, time.Second), ShouldEqual, &offers[0])
+		})
+	})
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -40,6 +40,8 @@
 	remote            []*endpointState
 	warmup            time.Duration
 	maxEjectedPercent int
+	// promises is set if gates promise capacity to the returns of refused requests.
+	promises bool
 }
 
 // chooser selects one of the eligible endpoints. The set is never empty.
@@ -93,6 +95,7 @@
 		byKey:             make(map[endpointKey]*endpointState, len(endpoints)),
 		warmup:            warmupFor(policy),
 		maxEjectedPercent: cmp.Or(int(policy.GetMaxEjectedPercent()), defaultMaxEjectedPercent),
+		promises:          policy.GetPromisedPercent() > 0,
 	}
 	for _, endpoint := range endpoints {
 		next.add(p.stateFor(now, old, endpoint))
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -60,6 +60,12 @@
 	// retryAfter is the wait suggested to the caller when no gate would accept the
 	// request; zero means the error kind's default.
 	retryAfter time.Duration
+	// home is the endpoint whose gate promises capacity to the request's return after a
+	// refusal; nil: no promises are made.
+	home *balance.Endpoint
+	// returnAfter is the wait that the request's home gate gave because it can promise no
+	// capacity in time; zero: none.
+	returnAfter time.Duration
 	// tried are the instances of all attempts.
 	tried      []string
 	triedArray [DefaultMaxAttempts]string // backing array of tried
@@ -140,6 +146,9 @@
 // attempt can have run, because a refusal certifies that to the caller.
 func (x *exchange) run(ctx context.Context) *wire.Answer {
 	answer := x.runWithinQuota(ctx)
+	if x.uncertain == nil && answer.Kind == pb.ErrorKind_ERROR_KIND_OVERLOADED {
+		x.bookReturn(ctx, answer)
+	}
 	if x.uncertain == nil || mayHaveRun(answer) {
 		return answer
 	}
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/egretfield/egretfield/internal/admission"
@@ -9,6 +10,7 @@
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/offer"
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/wire"
 )
 
 const (
@@ -53,12 +55,14 @@
 	if placer == nil || x.handler.options.Offers == nil {
 		return x.balancer.Pick(info)
 	}
+	x.home = placer.Home(info, x.call.Fingerprint)
 	local := placer.Local(info, maxOwnRegionGates)
 	firstCount := min(firstOwnRegionGates, len(local))
 	offers := x.askGates(ctx, local[:firstCount], ownRegionWaitLimits)
 	best := placer.Best(offers, time.Until(x.call.Target))
 	if best == nil || !best.IsSufficient() {
-		offers = append(offers, x.askGates(ctx, local[firstCount:], ownRegionWaitLimits)...)
+		offers = append(offers, x.askGates(ctx, x.withHome(local, firstCount), ownRegionWaitLimits)...)
+		x.returnAfter = returnAfterOf(offers, x.home)
 		best = placer.Best(offers, time.Until(x.call.Target))
 	}
 	if !info.Regions.Allows(x.handler.options.Region) || x.shouldAskOtherRegions(placer, best) {
@@ -82,6 +86,46 @@
 	return x.balancer.Pick(info)
 }
 
+// withHome returns the endpoints to ask after the first ones, among them the home of the
+// request, unless that was asked or tried already. It doesn't change their number, unless
+// there would be none.
+func (x *exchange) withHome(list []*balance.Endpoint, firstCount int) []*balance.Endpoint {
+	if x.home == nil || slices.Contains(list, x.home) || slices.Contains(x.tried, x.home.Instance) {
+		return list[firstCount:]
+	}
+	return append(slices.Clone(list[firstCount:max(len(list)-1, firstCount)]), x.home)
+}
+
+// returnAfterOf returns the wait that the home gate gave with its refusal because it can
+// promise nothing in time; zero: it can, or wasn't asked.
+func returnAfterOf(offers []balance.EndpointOffer, home *balance.Endpoint) time.Duration {
+	for i := range offers {
+		if offers[i].Endpoint == home {
+			return offers[i].ReturnAfter
+		}
+	}
+	return 0
+}
+
+// bookReturn sets the wait in a refusal because of load to the time at which the request's
+// home gate promises it capacity. Without a reply the wait stays as it is.
+func (x *exchange) bookReturn(ctx context.Context, refusal *wire.Answer) {
+	home := x.home
+	if home == nil || refusal.ReachedServer {
+		return
+	}
+	if x.returnAfter > 0 {
+		refusal.RetryAfter = x.returnAfter
+		return
+	}
+	question := x.offerQuestion()
+	question.Book = true
+	reply := x.handler.options.Offers.Ask(ctx, []string{home.ControlAddress}, question, ownRegionWaitLimits)[0]
+	if reply.Offer.GetIncarnation() == home.Incarnation && reply.Offer.GetReturnAfterUs() > 0 {
+		refusal.RetryAfter = time.Duration(reply.Offer.GetReturnAfterUs()) * time.Microsecond
+	}
+}
+
 // shouldAskOtherRegions reports whether gates of other regions are asked: the own region
 // would refuse or didn't reply, or it would answer after the target and so late that a
 // server in another region may be faster. The deadline must leave enough time for it.
@@ -121,6 +165,8 @@
 			ErrorRate:   float64(reply.Offer.GetErrorsPermille()) / 1000,
 			RoundTrip:   reply.RoundTrip,
 			AtOnce:      reply.Offer.GetAtOnce(),
+			Promised:    reply.Offer.GetPromised(),
+			ReturnAfter: time.Duration(reply.Offer.GetReturnAfterUs()) * time.Microsecond,
 		})
 	}
 	return offers
@@ -128,7 +174,7 @@
 
 // offerQuestion describes the request to gates.
 func (x *exchange) offerQuestion() *pb.OfferQuestion {
-	return &pb.OfferQuestion{
+	question := &pb.OfferQuestion{
 		Service:      x.call.Service,
 		Route:        x.call.Route,
 		Class:        x.call.Class,
@@ -136,6 +182,10 @@
 		TargetUs:     microseconds(time.Until(x.call.Target)),
 		DeadlineUs:   microseconds(time.Until(x.call.Deadline)),
 	}
+	if x.home != nil {
+		question.Fingerprint = x.call.Fingerprint
+	}
+	return question
 }
 
 // microseconds returns whole microseconds, or zero for a negative duration.
