--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -74,6 +74,7 @@
 	{"lease", "balancer: p2c}", "balancer: p2c}\n    keeper_lease_s: 2", []string{"c.yaml:12:21: presets[0].keeper_lease_s: got 2, expected at least 5"}},
 	{"percent", "balancer: p2c}", "retry_budget_percent: 101}", []string{"got 101, expected at most 100 percent"}},
 	{"hedged attempts", "balancer: p2c}", "hedge_percent: 21}", []string{"presets[0].policy.hedge_percent: got 21, expected at most 20 percent"}},
+	{"promised percent", "balancer: p2c}", "promised_percent: 101}", []string{"promised_percent", "got 101, expected at most 100 percent"}},
 }
 
 func TestParse(t *testing.T) {
