entry, quota: names and comments after reading the diff

Cause: an attempt that runs beside another was called a rival, and a comment gave an old time. Change: parallelAttempt; the comment names the reason.

--- a/internal/entry/hedging.go
+++ b/internal/entry/hedging.go
@@ -82,9 +82,9 @@
 	}
 }
 
-// rival is one of two attempts of a request that run at the same time. Until ended is
-// closed, its goroutine owns call, answer, latency and prefetchBuffer.
-type rival struct {
+// parallelAttempt is one of two attempts of a request that run at the same time. Until
+// ended is closed, its goroutine owns call, answer, latency and prefetchBuffer.
+type parallelAttempt struct {
 	sending
 	ownCall   wire.Call
 	result    balance.Result
@@ -96,9 +96,9 @@
 	ended     chan struct{}
 }
 
-// startRival sends an attempt with a copy of the call in a goroutine of its own.
-func (x *exchange) startRival(ctx context.Context, endpoint *balance.Endpoint, offer *balance.EndpointOffer) *rival {
-	r := &rival{
+// startParallel sends an attempt with a copy of the call in a goroutine of its own.
+func (x *exchange) startParallel(ctx context.Context, endpoint *balance.Endpoint, offer *balance.EndpointOffer) *parallelAttempt {
+	r := &parallelAttempt{
 		sending:   sending{handler: x.handler, endpoint: endpoint},
 		ownCall:   x.call,
 		result:    balance.Result{Endpoint: endpoint, Outcome: balance.OutcomeCancelled},
@@ -120,7 +120,7 @@
 }
 
 // hasEnded reports whether the attempt has an answer.
-func (r *rival) hasEnded() bool {
+func (r *parallelAttempt) hasEnded() bool {
 	select {
 	case <-r.ended:
 		return true
@@ -131,14 +131,14 @@
 
 // isSuccess reports whether the attempt, which has ended, has an answer that is delivered
 // without waiting for the other.
-func (r *rival) isSuccess() bool {
+func (r *parallelAttempt) isSuccess() bool {
 	return r.answer.Kind == 0 && r.answer.Status < http.StatusInternalServerError
 }
 
 // attemptHedged sends the first attempt and, if its answer is late and hedging is
 // allowed, a second one to another server. It returns the answer to deliver or to retry.
 func (x *exchange) attemptHedged(ctx context.Context, endpoint *balance.Endpoint, plan hedgePlan) *wire.Answer {
-	first := x.startRival(ctx, endpoint, x.offer)
+	first := x.startParallel(ctx, endpoint, x.offer)
 	timer := time.NewTimer(plan.delay)
 	defer timer.Stop()
 	select {
@@ -155,12 +155,12 @@
 		return x.adoptFirst(first)
 	}
 	x.handler.metrics.hedges.sent.Add(1)
-	return x.awaitRivals(first, second)
+	return x.awaitParallel(first, second)
 }
 
 // startHedge sends the second attempt of a request. It returns nil and the reason if none
 // is sent, or None if the first attempt ended meanwhile.
-func (x *exchange) startHedge(ctx context.Context, first *rival, plan hedgePlan) (*rival, hedge.Reason) {
+func (x *exchange) startHedge(ctx context.Context, first *parallelAttempt, plan hedgePlan) (*parallelAttempt, hedge.Reason) {
 	service := x.service.state
 	reason := service.hedging.Check(hedge.Situation{
 		Now:      time.Now(),
@@ -194,12 +194,12 @@
 		return nil, hedge.NoOffer
 	}
 	x.tried = append(x.tried, endpoint.Instance)
-	return x.startRival(ctx, endpoint, chosen), hedge.None
+	return x.startParallel(ctx, endpoint, chosen), hedge.None
 }
 
 // offerForHedge asks gates of the own region and returns the offer for the second attempt,
 // or nil. The questions end when the first attempt does.
-func (x *exchange) offerForHedge(ctx context.Context, first *rival) *balance.EndpointOffer {
+func (x *exchange) offerForHedge(ctx context.Context, first *parallelAttempt) *balance.EndpointOffer {
 	placer := x.balancer.Placer()
 	if placer == nil {
 		return nil
@@ -219,9 +219,9 @@
 	return hedge.Choose(offers, x.handler.options.Region, first.endpoint.Instance, time.Until(x.call.Deadline))
 }
 
-// awaitRivals waits until one of two attempts succeeds or both have failed, and returns
+// awaitParallel waits until one of two attempts succeeds or both have failed, and returns
 // the answer to deliver or to retry.
-func (x *exchange) awaitRivals(first, second *rival) *wire.Answer {
+func (x *exchange) awaitParallel(first, second *parallelAttempt) *wire.Answer {
 	earlier, later := first, second
 	select {
 	case <-first.ended:
@@ -257,7 +257,7 @@
 }
 
 // adoptFirst continues with the first attempt and records its latency if it succeeded.
-func (x *exchange) adoptFirst(first *rival) *wire.Answer {
+func (x *exchange) adoptFirst(first *parallelAttempt) *wire.Answer {
 	if first.isSuccess() {
 		x.hedgeRoute().Record(time.Now(), first.latency)
 	}
@@ -267,7 +267,7 @@
 // adoptFailure continues with one of two attempts that have failed: with the first, as if
 // there had been no other, unless only the second may have run. The answer is then
 // never a refusal that certifies that the request didn't run.
-func (x *exchange) adoptFailure(first, second *rival) *wire.Answer {
+func (x *exchange) adoptFailure(first, second *parallelAttempt) *wire.Answer {
 	kept, dropped := first, second
 	if !mayHaveRun(first.answer) && mayHaveRun(second.answer) {
 		kept, dropped = second, first
@@ -281,7 +281,7 @@
 }
 
 // reportFailed reports an attempt that has failed and whose answer isn't used.
-func (x *exchange) reportFailed(r *rival) {
+func (x *exchange) reportFailed(r *parallelAttempt) {
 	x.noteQuotaUse(r.answer)
 	x.noteOverload(r.answer)
 	if !isRetryableRefusal(r.answer) {
@@ -295,7 +295,7 @@
 }
 
 // adopt makes an attempt that has ended the exchange's last attempt.
-func (x *exchange) adopt(r *rival) *wire.Answer {
+func (x *exchange) adopt(r *parallelAttempt) *wire.Answer {
 	x.sending.releasePrefetchBuffer()
 	x.sending = r.sending
 	x.pending, x.offer = r.result, r.offer
@@ -305,7 +305,7 @@
 }
 
 // discard waits for the end of an attempt that was cancelled and reports it as such.
-func (r *rival) discard(balancer balance.Balancer) {
+func (r *parallelAttempt) discard(balancer balance.Balancer) {
 	defer r.handler.inProgress.Add(-1)
 	<-r.ended
 	r.finish(balancer, balance.OutcomeCancelled)
@@ -313,7 +313,7 @@
 
 // finish closes the answer of an attempt that has ended and reports the outcome to the
 // balancer.
-func (r *rival) finish(balancer balance.Balancer, outcome balance.Outcome) {
+func (r *parallelAttempt) finish(balancer balance.Balancer, outcome balance.Outcome) {
 	if r.answer.Body != nil {
 		_ = r.answer.Body.Close() // the answer is discarded
 	}
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -27,8 +27,8 @@
 	// idleTime is how long an organisation without requests on this node is kept.
 	idleTime = time.Minute
 	// maxStartWait is how long a request waits for an owner while the fleet starts:
-	// startDelay after the members have got to know each other, which takes 60 nodes
-	// one to two seconds.
+	// startDelay after the members have got to know each other, with a margin for large
+	// fleets and lost messages.
 	maxStartWait = 3 * time.Second
 	// startPoll is the interval at which owners are asked again during that time.
 	startPoll = 100 * time.Millisecond
