Tests: say organisation, not the platform's word

Cause: two tests outside the folder platform/ used the platform's word for an organisation, in a name and in a header.

Change: the names are org-%08d (of the same length, so that the sizes which the test logs stay the same) and X-Organisation. What is checked hasn't changed.

--- a/internal/config/organisations_test.go
+++ b/internal/config/organisations_test.go
@@ -59,7 +59,7 @@
 	for i := range n {
 		key := fmt.Sprint(i)
 		config.Organisations = append(config.Organisations, &pb.Organisation{
-			Name: fmt.Sprintf("tenant-%05d", i), ApiKeys: []string{strings.Repeat("k", keyBytes-len(key)) + key},
+			Name: fmt.Sprintf("org-%08d", i), ApiKeys: []string{strings.Repeat("k", keyBytes-len(key)) + key},
 			RatePerS: 10, Burst: 10, AllowedRegions: []string{"west"},
 		})
 	}
--- a/internal/entry/organisations_test.go
+++ b/internal/entry/organisations_test.go
@@ -193,14 +193,14 @@
 	})
 	Convey("A platform's own organisation header is removed when forged", t, func() {
 		headers := *wire.DefaultHeaders()
-		headers.Organisation = "X-Tenant"
+		headers.Organisation = "X-Organisation"
 		e := newOrganisationsEntry(func(o *entry.Options) { o.Headers = &headers })
 		e.SetRoutes(routesAt(1, organisationsConfig()))
 		r := httptest.NewRequest(http.MethodGet, "/open/x", nil)
 		r.Host = "h"
-		r.Header["X-Tenant"] = []string{"a", "b"}
+		r.Header["X-Organisation"] = []string{"a", "b"}
 		e.ServeHTTP(httptest.NewRecorder(), r)
-		So(e.gate.calls[0].Header["X-Tenant"], ShouldBeEmpty)
+		So(e.gate.calls[0].Header["X-Organisation"], ShouldBeEmpty)
 	})
 }
 
