Idempotency keys belong to organisations

Cause: a stored answer was kept under service and key alone. A caller of another organisation that sent the same key with an equal request got the first caller's answer.

Change: where the configuration has organisations, an idempotency key has a scope: the organisation of the request's API key, or none. Keepers hold the uses of a value by scope. A use whose scope isn't known (no organisations configured, or an older build) may be any organisation's: unless it was freed, it excludes a grant to every known scope and the reverse, and its answer is replayed to none of them. The shard doesn't depend on the scope, so entries of both builds ask the same keeper. Stored answers name their organisation, in a field that older builds keep unread, so an entry of this build gives no other organisation's answer out when a keeper of the older build replays it. A value used in several scopes is handed over as one entry of state unknown with the others inside, which the older build refuses to all.

An entry looks the API key up again before it gives a stored answer out. A request whose API key is moved before it is sent frees its key and begins again under the new organisation's. egretctl explain key lists the organisations that used a key.

Ruled out: the organisation as part of the service's name (entries of two builds would ask different keepers, and an operation could run twice), the organisation in the fingerprint (says key_reused to others), and one key for all with a check of the answer (one organisation could block another's keys).

The older build is imitated by removing the new fields from messages; two real builds weren't run together.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -76,6 +76,9 @@
 		findings = explainEndpoints(state, request, facts)
 	case "key":
 		findings = []*pb.Finding{explainKey(request.GetKey(), facts.GetKey())}
+		for _, other := range facts.GetKey().GetOthers() {
+			findings = append(findings, explainKey(request.GetKey(), other))
+		}
 	case "quarantine":
 		findings = explainQuarantines(request.GetFingerprint(), facts.GetQuarantines())
 	}
@@ -157,6 +160,9 @@
 		finding.Answer = "the node asked knows nothing of it"
 		return finding
 	}
+	if facts.Organisation != nil {
+		finding.Subject += " of organisation " + orNone(facts.GetOrganisation())
+	}
 	switch facts.GetState() {
 	case pb.RunState_RUN_STATE_YES:
 		finding.Answer = "ran once; its answer is kept for repeats"
--- a/internal/ctl/session_test.go
+++ b/internal/ctl/session_test.go
@@ -35,6 +35,8 @@
 	ids   int
 	// extraMembers are listed in Fleet without a status of their own.
 	extraMembers []*pb.Member
+	// organisation sends the orders; empty: no organisations are configured.
+	organisation string
 	// executions is the number of orders that ran.
 	executions int
 }
@@ -248,6 +250,12 @@
 		s.run("explain key " + kept)
 		s.order(first, lost, false)
 		s.run("explain key " + lost)
+		shared := s.newKey()
+		for _, s.organisation = range []string{"acme", "other"} {
+			s.order(first, shared, true)
+		}
+		s.organisation = ""
+		s.run("explain key " + shared)
 		time.Sleep(20 * time.Second)
 		s.run("explain key " + lost)
 		s.order(third, lost, true)
--- a/internal/ctl/testnode_test.go
+++ b/internal/ctl/testnode_test.go
@@ -128,7 +128,7 @@
 	fmt.Fprintf(&s.text, "$ order %s through %s\n", key, n.name)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	onceKey := once.Key{Service: "orders", Value: key}
+	onceKey := once.Key{Service: "orders", Value: key, Scoped: s.organisation != "", Organisation: s.organisation}
 	decision, err := n.keeper.Begin(ctx, onceKey, 1)
 	switch {
 	case err != nil:
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/errkind"
+	"github.com/egretfield/egretfield/internal/once"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/wire"
@@ -41,7 +42,8 @@
 	expectsContinue bool   // the caller sent an Expect header and waits for 100 Continue
 	key             string // idempotency key; empty if there is none
 	maxBodyBytes    int64
-	firstSend       bool // the caller states that it never sent the key before
+	keyInUse        once.Key // the idempotency key, while its grant is held
+	firstSend       bool     // the caller states that it never sent the key before
 	reservedBytes   int64
 	// regionsAtArrival are the allowed regions when the request arrived.
 	regionsAtArrival *balance.RegionRules
@@ -294,7 +296,7 @@
 // only for idempotent requests that aren't nested in a call chain. It takes from the
 // retry budget where the attempt counts as a retry.
 func (x *exchange) shouldRetry(ctx context.Context, answer *wire.Answer) bool {
-	if ctx.Err() != nil || (x.streamedBody != nil && x.streamedBody.readStarted.Load()) {
+	if ctx.Err() != nil || x.bodyStarted() {
 		return false
 	}
 	if isRetryableRefusal(answer) {
@@ -313,6 +315,12 @@
 	return x.failures <= maxFailures && x.service.state.budget.Take()
 }
 
+// bodyStarted reports whether a body that is streamed has begun to be sent on, so that it
+// can't be sent again.
+func (x *exchange) bodyStarted() bool {
+	return x.streamedBody != nil && x.streamedBody.readStarted.Load()
+}
+
 // retryTimeDivisor sets the time that must remain before the deadline for a retry:
 // the failed attempt's latency divided by it. A retry with less time hardly ever
 // succeeds and takes a slot and a part of the retry budget from other requests.
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -23,22 +23,64 @@
 	maxOutcomeReportWait = 100 * time.Millisecond
 )
 
-// serveKeyed runs a non-idempotent request under its idempotency key.
+// serveKeyed runs a non-idempotent request under its idempotency key. It starts anew when
+// the request's API key is moved to another organisation before the request is sent.
 func (x *exchange) serveKeyed() {
-	key := once.Key{Service: x.service.name, Value: x.key, FirstSend: x.firstSend}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.call.Deadline)
 	defer cancel()
+	for !x.serveKeyedAs(ctx, x.onceKey()) {
+		x.quota = quotaState{}
+	}
+}
+
+// onceKey returns the idempotency key in the scope of the request's organisation.
+func (x *exchange) onceKey() once.Key {
+	key := once.Key{Service: x.service.name, Value: x.key, FirstSend: x.firstSend, Scoped: len(x.authenticatedBy.organisations) > 0}
+	if x.organisation != nil {
+		key.Organisation = x.organisation.name
+	}
+	return key
+}
+
+// serveKeyedAs serves the request under the key. It returns false without an answer if the
+// key belongs to another organisation by now and the request hasn't been sent.
+func (x *exchange) serveKeyedAs(ctx context.Context, key once.Key) bool {
 	decision, err := x.handler.options.Guard.Begin(ctx, key, x.call.Fingerprint)
 	if err != nil {
 		x.writeAnswer(guardFailure(err, x.firstSend))
-		return
+		return true
+	}
+	if decision.Verdict == once.VerdictGranted {
+		x.keyInUse = key
+		defer func() { x.keyInUse = once.Key{} }()
+		return x.runWithGrant(key, decision.Grant)
 	}
-	if decision.Verdict == once.VerdictReplay {
-		x.w.Header()[wire.HeaderReplayed] = []string{"true"}
-		x.writeAnswer(wire.RestoreAnswer(decision.Answer))
-		return
+	// The API key may have been withdrawn or moved while Begin waited for the answer.
+	if _, err := x.reauthenticate(); err != nil {
+		x.writeAnswer(errorAnswer(err))
+		return true
 	}
-	x.runWithGrant(key, decision.Grant)
+	if x.onceKey() != key {
+		return false
+	}
+	x.w.Header()[wire.HeaderReplayed] = []string{"true"}
+	x.writeAnswer(wire.RestoreAnswer(decision.Answer))
+	return true
+}
+
+// confirmScope fails if the request holds a grant of another organisation's key.
+func (x *exchange) confirmScope() error {
+	if x.keyInUse == (once.Key{}) || x.keyInUse == x.onceKey() {
+		return nil
+	}
+	return errkind.New(pb.ErrorKind_ERROR_KIND_NOT_READY, "the API key was moved to another organisation")
+}
+
+// startsAnew reports whether a request that was refused is served again under the
+// idempotency key of the organisation that has its API key by now.
+func (x *exchange) startsAnew(answer *wire.Answer) bool {
+	authenticated := x.organisation != nil || !x.authenticatedBy.needsKey(x.route)
+	return authenticated && x.confirmScope() != nil && !mayHaveRun(answer) && !x.bodyStarted()
 }
 
 // guardFailure returns the answer for a Begin that was refused or failed.
@@ -54,8 +96,9 @@
 }
 
 // runWithGrant runs the request and reports its outcome in every case, including a
-// panic.
-func (x *exchange) runWithGrant(key once.Key, grant string) {
+// panic. It returns false without an answer if the request hasn't run and belongs to another
+// organisation by now.
+func (x *exchange) runWithGrant(key once.Key, grant string) bool {
 	outcome := once.Outcome{State: pb.RunState_RUN_STATE_UNKNOWN}
 	reported := false
 	defer func() {
@@ -74,13 +117,16 @@
 		outcome.State = errkind.Of(answer.Kind).Run
 		x.reportOutcomeAndWait(key, grant, outcome)
 		reported = true
+		if x.startsAnew(answer) {
+			return false
+		}
 		x.writeAnswer(answer)
-		return
+		return true
 	}
 	stored, err := storeAnswer(answer)
 	if err != nil {
 		x.writeAnswer(truncatedAnswer(answer))
-		return
+		return true
 	}
 	completed := once.Outcome{State: pb.RunState_RUN_STATE_YES, Answer: stored}
 	if x.regionFilter().IsRestricted() {
@@ -93,6 +139,7 @@
 	}
 	x.writeAnswer(answer)
 	outcome = completed
+	return true
 }
 
 // truncatedAnswer returns the error answer that replaces an answer whose body could not
--- a/internal/entry/organisations.go
+++ b/internal/entry/organisations.go
@@ -153,6 +153,9 @@
 		return nil, err
 	}
 	for {
+		if err := x.confirmScope(); err != nil {
+			return nil, err
+		}
 		endpoint, err := x.chooseEndpoint(ctx)
 		if err != nil {
 			return nil, err
--- a/internal/entry/organisations_test.go
+++ b/internal/entry/organisations_test.go
@@ -33,6 +33,7 @@
 			{Name: "closed", Host: "h", PathPrefix: "/", Services: to, Idempotent: true, Class: pb.Class_CLASS_BACKGROUND},
 			{Name: "order", Host: "h", PathPrefix: "/order/", Services: to},
 			{Name: "open", Host: "h", PathPrefix: "/open/", Services: to, Idempotent: true, AuthExempt: true},
+			{Name: "openorder", Host: "h", PathPrefix: "/openorder/", Services: to, AuthExempt: true},
 		},
 		Organisations: []*pb.Organisation{
 			{Name: "a", ApiKeys: []string{"ka"}, Class: pb.Class_CLASS_CRITICAL},
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -212,7 +212,7 @@
 	var facts *pb.KeyFacts
 	for _, service := range s.node.follower.Current().GetConfig().GetServices() {
 		facts = s.node.keeper.Explain(once.Key{Service: service.GetName(), Value: request.GetKey()})
-		if facts.GetState() != pb.RunState_RUN_STATE_NO {
+		if facts.GetState() != pb.RunState_RUN_STATE_NO || len(facts.GetOthers()) > 0 {
 			return facts
 		}
 	}
--- a/internal/once/cluster_test.go
+++ b/internal/once/cluster_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -93,7 +94,10 @@
 	staleMembers []Member
 	loseRequests int
 	loseReplies  int
-	appended     [][]byte
+	// dropOrganisations makes keepers ignore organisations like builds without them.
+	dropOrganisations atomic.Bool
+
+	appended [][]byte
 }
 
 func newCluster(opts Options, retention memlog.Options) *cluster {
@@ -239,6 +243,14 @@
 // Call implements peer.Client.
 func (p *process) Call(ctx context.Context, addr, method string, args, reply proto.Message) error {
 	sent := proto.CloneOf(args)
+	if p.c.dropOrganisations.Load() {
+		switch message := sent.(type) {
+		case *pb.KeyBegin:
+			message.Organisation = nil
+		case *pb.KeyFinish:
+			message.Organisation = nil
+		}
+	}
 	result := make(chan proto.Message, 1)
 	failed := make(chan error, 1)
 	go func() {
--- a/internal/once/explain.go
+++ b/internal/once/explain.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/egretfield/egretfield/internal/errkind"
+	"github.com/egretfield/egretfield/internal/once/keeper"
 	"github.com/egretfield/egretfield/internal/once/shard"
 	"github.com/egretfield/egretfield/internal/pb"
 )
@@ -19,7 +22,7 @@
 // anything. If the keeper is unreachable, the facts say so.
 func (m *Manager) Explain(key Key) *pb.KeyFacts {
 	facts := &pb.KeyFacts{Service: key.Service, Key: key.Value}
-	parsed, err := shard.ParseKey(key.Service, key.Value)
+	parsed, err := key.parse()
 	if err != nil {
 		return explainRefusal(facts, pb.RunState_RUN_STATE_NO, pb.ErrorKind_ERROR_KIND_KEY_INVALID, "not a UUIDv7")
 	}
@@ -60,16 +63,32 @@
 		return explainRefusal(facts, pb.RunState_RUN_STATE_UNKNOWN, pb.ErrorKind_ERROR_KIND_KEY_TOO_OLD,
 			"this keeper has no table for the key's creation time")
 	}
-	state, known := table.Peek(key)
+	states := table.Peek(key)
 	switch {
-	case known && state == pb.KeyState_KEY_STATE_DONE:
+	case len(states) > 0:
+		var others []*pb.KeyFacts
+		for _, other := range states[1:] {
+			others = append(others, explainState(proto.CloneOf(facts), other))
+		}
+		explainState(facts, states[0]).Others = others
+	case key.Timestamp() < table.Floor():
+		explainRefusal(facts, pb.RunState_RUN_STATE_UNKNOWN, pb.ErrorKind_ERROR_KIND_KEY_TOO_OLD, "evicted to make room, or older than this keeper")
+	default:
+		facts.State = pb.RunState_RUN_STATE_NO
+	}
+	return facts
+}
+
+// explainState fills in what the keeper knows of a key in one scope.
+func explainState(facts *pb.KeyFacts, known keeper.ScopeState) *pb.KeyFacts {
+	facts.Organisation = known.Scope.Field()
+	switch known.State {
+	case pb.KeyState_KEY_STATE_DONE:
 		facts.State = pb.RunState_RUN_STATE_YES
-	case known && state == pb.KeyState_KEY_STATE_RUNNING:
+	case pb.KeyState_KEY_STATE_RUNNING:
 		explainRefusal(facts, pb.RunState_RUN_STATE_UNKNOWN, pb.ErrorKind_ERROR_KIND_KEY_IN_PROGRESS, "an attempt is running")
-	case known && state == pb.KeyState_KEY_STATE_UNKNOWN:
+	case pb.KeyState_KEY_STATE_UNKNOWN:
 		explainRefusal(facts, pb.RunState_RUN_STATE_UNKNOWN, pb.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, "an attempt ended without an outcome")
-	case key.Timestamp() < table.Floor():
-		explainRefusal(facts, pb.RunState_RUN_STATE_UNKNOWN, pb.ErrorKind_ERROR_KIND_KEY_TOO_OLD, "evicted to make room, or older than this keeper")
 	default:
 		facts.State = pb.RunState_RUN_STATE_NO
 	}
--- a/internal/once/finish.go
+++ b/internal/once/finish.go
@@ -91,7 +91,7 @@
 
 // Finish implements Guard.
 func (m *Manager) Finish(ctx context.Context, key Key, grant string, outcome Outcome) error {
-	parsed, err := shard.ParseKey(key.Service, key.Value)
+	parsed, err := key.parse()
 	if err != nil {
 		return errkind.Wrap(pb.ErrorKind_ERROR_KIND_KEY_INVALID, err, "key %.40q", key.Value)
 	}
@@ -108,12 +108,13 @@
 // answered.
 func (m *Manager) reportOutcome(ctx context.Context, key shard.Key, grant keeper.GrantID, outcome Outcome) error {
 	args := &pb.KeyFinish{
-		Service:   key.Service,
-		Key:       key.ID[:],
-		Grant:     grant[:],
-		State:     outcome.State,
-		Answer:    outcome.Answer,
-		HasAnswer: outcome.Answer != nil,
+		Service:      key.Service,
+		Key:          key.ID[:],
+		Grant:        grant[:],
+		State:        outcome.State,
+		Answer:       answerOf(key.Scope, outcome.Answer),
+		HasAnswer:    outcome.Answer != nil,
+		Organisation: key.Scope.Field(),
 	}
 	movedTo := ""
 	for ctx.Err() == nil {
@@ -133,6 +134,15 @@
 	return errkind.New(pb.ErrorKind_ERROR_KIND_TIMEOUT, "the key's keeper did not acknowledge the outcome")
 }
 
+// answerOf returns the answer to store, which names its organisation, so that it is
+// replayed to no other one even after a keeper of an older build has kept it.
+func answerOf(scope shard.Scope, answer *pb.StoredAnswer) *pb.StoredAnswer {
+	if answer == nil || !scope.Known {
+		return answer
+	}
+	return &pb.StoredAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body, Organisation: scope.Field()}
+}
+
 // finishRefused returns the result when the grant isn't held because it was
 // cancelled or forgotten. For an outcome that frees the key that is no error:
 // the key is free already.
--- a/internal/once/guard.go
+++ b/internal/once/guard.go
@@ -54,7 +54,7 @@
 
 // Begin implements Guard.
 func (m *Manager) Begin(ctx context.Context, key Key, fingerprint uint64) (Decision, error) {
-	parsed, err := shard.ParseKey(key.Service, key.Value)
+	parsed, err := key.parse()
 	if err != nil {
 		m.metrics.refused(pb.ErrorKind_ERROR_KIND_KEY_INVALID)
 		return Decision{}, errkind.Wrap(pb.ErrorKind_ERROR_KIND_KEY_INVALID, err, "key %.40q", key.Value)
@@ -126,12 +126,13 @@
 // still be sending its own.
 func (c *beginCall) message(wait, hold time.Duration) *pb.KeyBegin {
 	return &pb.KeyBegin{
-		Service:     c.key.Service,
-		Key:         c.key.ID[:],
-		Fingerprint: c.fingerprint,
-		Grant:       c.grant[:],
-		WaitMs:      uint32(wait.Milliseconds()),
-		HoldMs:      uint32(hold.Milliseconds()),
+		Service:      c.key.Service,
+		Key:          c.key.ID[:],
+		Fingerprint:  c.fingerprint,
+		Grant:        c.grant[:],
+		WaitMs:       uint32(wait.Milliseconds()),
+		HoldMs:       uint32(hold.Milliseconds()),
+		Organisation: c.key.Scope.Field(),
 	}
 }
 
@@ -173,6 +174,10 @@
 	case pb.KeyVerdict_KEY_VERDICT_GRANTED:
 		return Decision{Verdict: VerdictGranted, Grant: c.grant.String()}, nil, true
 	case pb.KeyVerdict_KEY_VERDICT_REPLAY:
+		if shard.ScopeOf(reply.Answer.Organisation) != c.key.Scope {
+			// A keeper of an older build doesn't tell organisations apart.
+			return Decision{}, errkind.New(pb.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, "the key's stored answer isn't known to belong to the caller's organisation"), true
+		}
 		return Decision{Verdict: VerdictReplay, Answer: reply.Answer}, nil, true
 	case pb.KeyVerdict_KEY_VERDICT_MOVED:
 		if time.Now().After(c.searchEnd) {
--- a/internal/once/guard_test.go
+++ b/internal/once/guard_test.go
@@ -223,3 +223,30 @@
 		t.Errorf("lease %v is shorter than its renewal period %v", got, m.renewalPeriod())
 	}
 }
+
+// Guards against an answer that a keeper of an older build, which doesn't tell
+// organisations apart, replays to another organisation.
+func TestAnswersOfAKeeperOfAnOlderBuild(t *testing.T) {
+	runInCluster(t, 3, Options{}, func(t *testing.T, c *cluster) {
+		ctx := context.Background()
+		c.dropOrganisations.Store(true)
+		key := keyKeptBy(c, "n1")
+		key.Scoped, key.Organisation = true, "a"
+		first, err := c.get("n0").m.Begin(ctx, key, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.get("n0").m.Finish(ctx, key, first.Grant, yes("a")); err != nil {
+			t.Fatal(err)
+		}
+		again, err := c.get("n2").m.Begin(ctx, key, 7)
+		if err != nil || string(again.Answer.GetBody()) != "a" {
+			t.Errorf("resend: %v %v", again, err)
+		}
+		for _, other := range []Key{{Scoped: true, Organisation: "b"}, {Scoped: true}, {}} {
+			other.Service, other.Value = key.Service, key.Value
+			_, err := c.get("n2").m.Begin(ctx, other, 7)
+			wantKind(t, err, pb.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN)
+		}
+	})
+}
--- a/internal/once/keeper/entry.go
+++ b/internal/once/keeper/entry.go
@@ -17,7 +17,9 @@
 	// MaxAnswerBytes is the maximum size of an answer kept for replay.
 	MaxAnswerBytes = 16 << 10
 	// entryOverhead is the memory of an entry without its answer, in bytes.
-	entryOverhead = 320
+	entryOverhead = 368
+	// scopedOverhead is the memory of its place among those with the same key.
+	scopedOverhead = 96
 	// maxCancelled is the number of cancelled grant ids kept for a key.
 	maxCancelled = 4
 )
@@ -45,6 +47,9 @@
 
 func (e *entry) memorySize() int {
 	size := entryOverhead + len(e.cancelled)*len(GrantID{})
+	if e.key.Scope.Known {
+		size += scopedOverhead + len(e.key.Scope.Organisation)
+	}
 	if e.answer != nil {
 		size += proto.Size(e.answer)
 	}
--- a/internal/once/keeper/table.go
+++ b/internal/once/keeper/table.go
@@ -83,6 +83,8 @@
 	sealed  bool
 	movedTo string
 	entries map[shard.Key]*entry
+	// scoped has the entries of known scope by their key in the zero scope.
+	scoped  map[shard.Key][]*entry
 	oldest  byTimestamp
 	bytes   int
 	evicted uint64
@@ -97,6 +99,7 @@
 		floor:      max(floor, interval.Begin),
 		limits:     limits,
 		entries:    make(map[shard.Key]*entry),
+		scoped:     make(map[shard.Key][]*entry),
 	}
 }
 
@@ -201,7 +204,13 @@
 	if timestamp < t.floor {
 		return refuse(pb.ErrorKind_ERROR_KIND_KEY_TOO_OLD, "the key is older than the keys that the keeper stores"), nil
 	}
-	if e, ok := t.entries[req.Key]; ok {
+	e, found := t.find(req.Key, req.Grant)
+	if !found || e.state == pb.KeyState_KEY_STATE_FREE {
+		if other := t.conflicting(req); other != nil {
+			return beginConflicting(other, req)
+		}
+	}
+	if found {
 		return t.beginExisting(e, req)
 	}
 	if t.TooFarAhead(timestamp) {
@@ -257,7 +266,7 @@
 	case pb.KeyState_KEY_STATE_DONE:
 		return replayOf(e), nil
 	case pb.KeyState_KEY_STATE_RUNNING:
-		return t.beginRunning(e, req)
+		return beginRunning(e, req)
 	default:
 		return refuse(pb.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, "an earlier attempt ended with an unknown outcome"), nil
 	}
@@ -270,7 +279,7 @@
 	return Result{Verdict: replay, Answer: e.answer}
 }
 
-func (t *Table) beginRunning(e *entry, req Request) (Result, <-chan struct{}) {
+func beginRunning(e *entry, req Request) (Result, <-chan struct{}) {
 	if e.grant == req.Grant {
 		return Result{Verdict: granted}, nil
 	}
@@ -295,7 +304,7 @@
 	if t.sealed {
 		return Result{Verdict: moved, MovedTo: t.movedTo}
 	}
-	e, ok := t.entries[key]
+	e, ok := t.find(key, grant)
 	if !ok {
 		return t.finishUnseen(key, grant, state)
 	}
@@ -345,7 +354,7 @@
 }
 
 func (t *Table) add(e *entry) {
-	t.entries[e.key] = e
+	t.index(e)
 	heap.Push(&t.oldest, e)
 	t.updateSize(e)
 }
@@ -372,7 +381,7 @@
 func (t *Table) dropBelowFloor() {
 	for len(t.oldest) > 0 && t.oldest[0].timestamp < t.floor {
 		e := heap.Pop(&t.oldest).(*entry)
-		delete(t.entries, e.key)
+		t.unindex(e)
 		t.bytes -= e.size
 		t.evicted++
 		e.notifyWaiters()
--- a/internal/once/keeper/table_test.go
+++ b/internal/once/keeper/table_test.go
@@ -120,3 +120,82 @@
 		}
 	})
 }
+
+// Guards against answers replayed to another organisation, and keys granted twice where it
+// isn't known to which organisation they belong.
+func TestScopes(t *testing.T) {
+	ctx := context.Background()
+	scopeOf := func(organisation string) shard.Scope { return shard.ScopeOf(&organisation) }
+	unscoped := keyAt(1000, 1)
+	a, b := unscoped.In(scopeOf("a")), unscoped.In(scopeOf("b"))
+	run := func(table *Table, key shard.Key, grant byte, body string) {
+		So(table.Begin(ctx, request(key, grant)).Verdict, ShouldEqual, granted)
+		table.Finish(key, GrantID{grant}, yes, &pb.StoredAnswer{Body: []byte(body), Organisation: key.Scope.Field()})
+	}
+	kindOf := func(table *Table, key shard.Key, grant byte) pb.ErrorKind {
+		return table.Begin(ctx, request(key, grant)).Kind
+	}
+	const unknown, running = pb.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, pb.ErrorKind_ERROR_KIND_KEY_IN_PROGRESS
+
+	Convey("Organisations use the same key independently, also after handovers", t, func() {
+		table := newTable(100, 1<<20, 0)
+		run(table, a, 1, "a")
+		So(table.Begin(ctx, Request{Key: b, Fingerprint: 2, Grant: GrantID{2}, Hold: time.Minute}).Verdict, ShouldEqual, granted)
+		run(table, unscoped.In(scopeOf("")), 3, "none")
+		restored, err := Restore(table.Seal("n2"), 9, table.limits)
+		So(err, ShouldBeNil)
+		So(string(restored.Begin(ctx, request(a, 4)).Answer.GetBody()), ShouldEqual, "a")
+		So(restored.Begin(ctx, Request{Key: b, Fingerprint: 2, Grant: GrantID{5}}).Kind, ShouldEqual, running)
+		So(restored.Finish(b, GrantID{2}, no, nil).Verdict, ShouldEqual, granted)
+		So(restored.Peek(unscoped), ShouldResemble, []ScopeState{
+			{scopeOf(""), pb.KeyState_KEY_STATE_DONE}, {scopeOf("a"), pb.KeyState_KEY_STATE_DONE}, {scopeOf("b"), pb.KeyState_KEY_STATE_FREE},
+		})
+	})
+	Convey("A key of unknown organisation is granted and replayed to no organisation, and the reverse", t, func() {
+		table := newTable(100, 1<<20, 0)
+		So(table.Begin(ctx, request(unscoped, 1)).Verdict, ShouldEqual, granted)
+		So(kindOf(table, a, 2), ShouldEqual, running)
+		table.Finish(unscoped, GrantID{1}, yes, &pb.StoredAnswer{})
+		So(kindOf(table, a, 2), ShouldEqual, unknown)
+		other := keyAt(1000, 2)
+		run(table, other.In(scopeOf("a")), 1, "a")
+		So(kindOf(table, other, 2), ShouldEqual, unknown)
+		Convey("but a key that was freed is granted", func() {
+			freed := keyAt(1000, 3)
+			So(table.Begin(ctx, request(freed, 1)).Verdict, ShouldEqual, granted)
+			table.Finish(freed, GrantID{1}, no, nil)
+			table.Finish(freed, GrantID{7}, no, nil) // cancels a Begin that arrives later
+			So(kindOf(table, freed.In(scopeOf("a")), 7), ShouldEqual, unknown)
+			So(table.Begin(ctx, request(freed.In(scopeOf("a")), 2)).Verdict, ShouldEqual, granted)
+		})
+	})
+	// olderBuild returns what a node of a build without scopes hands over after it was
+	// handed a table. It keeps fields that it doesn't know in messages that it stores whole,
+	// such as answers, and one entry for each key.
+	olderBuild := func(message *pb.KeeperTable) *pb.KeeperTable {
+		for _, entry := range message.Entries {
+			entry.Organisation, entry.ByOrganisation = nil, nil
+		}
+		return message
+	}
+	Convey("A handover through a node of an older build loses no grant", t, func() {
+		table := newTable(100, 1<<20, 0)
+		shared, held := unscoped, keyAt(1000, 2).In(scopeOf("a"))
+		run(table, shared.In(scopeOf("a")), 1, "a")
+		run(table, shared.In(scopeOf("b")), 2, "b")
+		So(table.Begin(ctx, request(held, 3)).Verdict, ShouldEqual, granted)
+		single := keyAt(1000, 4).In(scopeOf("a"))
+		run(table, single, 4, "single")
+		message := olderBuild(table.Seal("old"))
+		So(message.Entries, ShouldHaveLength, 3)
+		restored, err := Restore(message, 9, table.limits)
+		So(err, ShouldBeNil)
+		So(kindOf(restored, shared.In(scopeOf("a")), 5), ShouldEqual, unknown)
+		So(kindOf(restored, held.In(scopeOf("b")), 5), ShouldEqual, running)
+		So(string(restored.Begin(ctx, request(single, 5)).Answer.GetBody()), ShouldEqual, "single")
+		So(restored.Begin(ctx, request(single.In(scopeOf("b")), 6)).Verdict, ShouldEqual, granted)
+		So(restored.Finish(held, GrantID{3}, yes, &pb.StoredAnswer{}).Verdict, ShouldEqual, granted)
+		So(restored.Begin(ctx, request(held, 6)).Verdict, ShouldEqual, replay)
+		So(restored.Begin(ctx, request(held.In(scopeOf("b")), 7)).Verdict, ShouldEqual, granted)
+	})
+}
--- a/internal/once/keeper/transfer.go
+++ b/internal/once/keeper/transfer.go
@@ -27,7 +27,7 @@
 	for _, e := range t.entries {
 		e.notifyWaiters()
 	}
-	t.entries = nil
+	t.entries, t.scoped = nil, nil
 	t.oldest = nil
 	t.bytes = 0
 	return message
@@ -52,7 +52,28 @@
 	}
 	now := time.Now()
 	for _, e := range t.oldest {
-		message.Entries = append(message.Entries, e.message(now))
+		unscoped := e.key.In(shard.Scope{})
+		same := t.scoped[unscoped]
+		_, hasUnscoped := t.entries[unscoped]
+		switch {
+		case len(same) == 0 || len(same) == 1 && !hasUnscoped:
+			message.Entries = append(message.Entries, e.message(now))
+		case e == same[0]:
+			message.Entries = append(message.Entries, t.shared(unscoped, now))
+		}
+	}
+	return message
+}
+
+// shared returns the message of a key with entries in several scopes. A node of an older
+// build keeps one entry a key; its state makes that node refuse the key to all.
+func (t *Table) shared(unscoped shard.Key, now time.Time) *pb.KeeperEntry {
+	message := &pb.KeeperEntry{Service: unscoped.Service, Key: unscoped.ID[:], State: pb.KeyState_KEY_STATE_UNKNOWN}
+	if e, ok := t.entries[unscoped]; ok {
+		message.ByOrganisation = append(message.ByOrganisation, e.message(now))
+	}
+	for _, e := range t.scoped[unscoped] {
+		message.ByOrganisation = append(message.ByOrganisation, e.message(now))
 	}
 	return message
 }
@@ -60,13 +81,14 @@
 func (e *entry) message(now time.Time) *pb.KeeperEntry {
 	hold := max(0, e.holdUntil.Sub(now))
 	message := &pb.KeeperEntry{
-		Service:     e.key.Service,
-		Key:         e.key.ID[:],
-		Fingerprint: e.fingerprint,
-		Grant:       e.grant[:],
-		State:       e.state,
-		Answer:      e.answer,
-		HoldMs:      uint32(hold.Milliseconds()),
+		Service:      e.key.Service,
+		Key:          e.key.ID[:],
+		Fingerprint:  e.fingerprint,
+		Grant:        e.grant[:],
+		State:        e.state,
+		Answer:       e.answer,
+		HoldMs:       uint32(hold.Milliseconds()),
+		Organisation: e.key.Scope.Field(),
 	}
 	for _, id := range e.cancelled {
 		message.Cancelled = append(message.Cancelled, id[:])
@@ -86,11 +108,17 @@
 	t := NewTable(message.Interval.GetShard(), interval, message.FloorMs, limits)
 	now := time.Now()
 	for _, kept := range message.Entries {
-		e, err := restoreEntry(kept, now)
-		if err != nil {
-			return nil, err
+		entries := kept.ByOrganisation
+		if len(entries) == 0 {
+			entries = []*pb.KeeperEntry{kept}
+		}
+		for _, kept := range entries {
+			e, err := restoreEntry(kept, now)
+			if err != nil {
+				return nil, err
+			}
+			t.add(e)
 		}
-		t.add(e)
 	}
 	t.evict()
 	return t, nil
@@ -113,8 +141,13 @@
 	if err != nil {
 		return nil, err
 	}
+	scope := shard.ScopeOf(kept.Organisation)
+	if !scope.Known && kept.Answer != nil {
+		// A keeper of an older build loses the scope of the entry but not of its answer.
+		scope = shard.ScopeOf(kept.Answer.Organisation)
+	}
 	e := &entry{
-		key:         key,
+		key:         key.In(scope),
 		timestamp:   key.Timestamp(),
 		fingerprint: kept.Fingerprint,
 		state:       kept.State,
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 
+	"github.com/egretfield/egretfield/internal/once/shard"
 	"github.com/egretfield/egretfield/internal/pb"
 )
 
@@ -22,12 +23,24 @@
 	Service string
 	// Value is the Idempotency-Key header: a UUIDv7.
 	Value string
+	// Scoped is set where the configuration has organisations. The same value is then
+	// another key for each Organisation, and for callers without one.
+	Scoped       bool
+	Organisation string
 	// FirstSend is set when the caller states that it never sent this key
 	// before. A request that wasn't sent past a gate can then be certified as
 	// not run even while the key's keeper is unreachable.
 	FirstSend bool
 }
 
+func (k Key) parse() (shard.Key, error) {
+	parsed, err := shard.ParseKey(k.Service, k.Value)
+	if k.Scoped {
+		parsed.Scope = shard.Scope{Organisation: k.Organisation, Known: true}
+	}
+	return parsed, err
+}
+
 // Verdict is the keeper's answer to Begin.
 type Verdict int
 
--- a/internal/once/rpc.go
+++ b/internal/once/rpc.go
@@ -110,7 +110,7 @@
 		m.awaitLimit(waitCtx, key.Timestamp())
 	}
 	result := table.Begin(ctx, keeper.Request{
-		Key:         key,
+		Key:         key.In(shard.ScopeOf(args.Organisation)),
 		Fingerprint: args.Fingerprint,
 		Grant:       keeper.GrantID(args.Grant),
 		Wait:        min(millisOf(args.WaitMs), maxKeeperWait),
@@ -138,7 +138,7 @@
 	if args.HasAnswer {
 		answer = args.Answer
 	}
-	result := table.Finish(key, keeper.GrantID(args.Grant), args.State, answer)
+	result := table.Finish(key.In(shard.ScopeOf(args.Organisation)), keeper.GrantID(args.Grant), args.State, answer)
 	reply.Verdict = result.Verdict
 	reply.MovedTo = result.MovedTo
 }
--- a/internal/once/shard/key.go
+++ b/internal/once/shard/key.go
@@ -26,10 +26,43 @@
 // the node or caller that made it.
 type Timestamp = uint64
 
-// Key is a parsed idempotency key within a service.
+// Key is a parsed idempotency key within a service and a scope.
 type Key struct {
 	Service string
 	ID      [16]byte
+	Scope   Scope
+}
+
+// Scope separates the keys of organisations from each other. The zero Scope is that of
+// configurations without organisations and of builds that don't know scopes: whose key it
+// is isn't known.
+type Scope struct {
+	// Organisation is empty for callers without one.
+	Organisation string
+	// Known reports whether the organisation, or that there is none, is known.
+	Known bool
+}
+
+// ScopeOf returns the scope in a message.
+func ScopeOf(organisation *string) Scope {
+	if organisation == nil {
+		return Scope{}
+	}
+	return Scope{Organisation: *organisation, Known: true}
+}
+
+// Field returns the scope as ScopeOf reads it.
+func (s Scope) Field() *string {
+	if !s.Known {
+		return nil
+	}
+	return &s.Organisation
+}
+
+// In returns the key in another scope.
+func (k Key) In(scope Scope) Key {
+	k.Scope = scope
+	return k
 }
 
 // ParseKey parses a UUIDv7 in the 36-character form, with letters of either
@@ -61,7 +94,8 @@
 	return binary.BigEndian.Uint64(wide[:])
 }
 
-// Shard returns the number of the shard that the key belongs to, below Count.
+// Shard returns the number of the shard that the key belongs to, below Count. It doesn't
+// depend on the scope, so that builds without scopes ask the same keeper.
 func (k Key) Shard() uint32 {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(k.Service)
