--- a/internal/gate/returns_test.go
+++ b/internal/gate/returns_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
@@ -86,3 +88,32 @@
 		So(ok, ShouldBeFalse)
 	})
 }
+
+// Guards against promises that operators can't see.
+func TestPromiseMetric(t *testing.T) {
+	Convey("The metric of promises is absent without any, then has made, kept and missed ones", t, func() {
+		reader := metric.NewManualReader()
+		g := New(Options{Instance: "i", Incarnation: 1, Meter: metric.NewMeterProvider(metric.WithReader(reader)).Meter("t")})
+		promises := func() map[string]int64 {
+			counts := map[string]int64{}
+			var all metricdata.ResourceMetrics
+			So(reader.Collect(context.Background(), &all), ShouldBeNil)
+			for _, m := range all.ScopeMetrics[0].Metrics {
+				if m.Name == "egretfield.gate.promises" {
+					for _, point := range m.Data.(metricdata.Sum[int64]).DataPoints {
+						result, _ := point.Attributes.Value("result")
+						counts[result.AsString()] = point.Value
+					}
+				}
+			}
+			return counts
+		}
+		So(promises(), ShouldBeEmpty)
+		g.SetPromisedPercent(25)
+		g.limiter.configure(2, false)
+		g.limiter.release(runResult{holdTime: 100 * time.Millisecond, slowdownFactor: 1, completed: true})
+		_, ok := g.limiter.book(slotRequest{class: normal, fingerprint: 1, deadline: time.Now().Add(time.Second)})
+		So(ok, ShouldBeTrue)
+		So(promises(), ShouldResemble, map[string]int64{"made": 1, "kept": 0, "missed": 0})
+	})
+}
