egretctl explain organisation/NAME

Cause: nothing told an operator which rules hold for an organisation, which node grants its usage cap, or since which version it has or had a key.

Change: explain has the subject organisation, as organisation/NAME or as two words (the slash works for the other subjects as well).

Ruled out: a list of key changes in the folded state. It would be exact, but grows the state of every node, and an older build would drop it when it passes the state on.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"github.com/egretfield/egretfield/internal/configlog"
 	"github.com/egretfield/egretfield/internal/errkind"
@@ -10,8 +11,8 @@
 )
 
 // runExplain explains which configuration is in force where and since when, why an
-// instance or service gets no work, what became of the request with a key, or why a
-// kind of request is quarantined.
+// instance or service gets no work, what became of the request with a key, why a kind of
+// request is quarantined, or the rules and API keys of an organisation.
 func runExplain(ctx context.Context, s *session) error {
 	request, err := s.explainRequest()
 	if err != nil {
@@ -37,8 +38,11 @@
 
 // explainRequest converts the arguments to a request to a node.
 func (s *session) explainRequest() (*pb.ExplainRequest, error) {
+	if subject, name, ok := strings.Cut(s.arg(0), "/"); ok && len(s.args) == 1 {
+		s.args = []string{subject, name}
+	}
 	subject, name := s.arg(0), s.arg(1)
-	needsName := subject == "instance" || subject == "service" || subject == "key"
+	needsName := subject == "instance" || subject == "service" || subject == "key" || subject == "organisation"
 	if needsName && name == "" {
 		return nil, s.usageError("expected the name after %q", subject)
 	}
@@ -53,8 +57,10 @@
 		return &pb.ExplainRequest{Key: name}, nil
 	case "quarantine":
 		return &pb.ExplainRequest{Fingerprint: name}, nil
+	case "organisation":
+		return &pb.ExplainRequest{Organisation: name}, nil
 	default:
-		return nil, s.usageError("unknown subject %q, expected config, instance, service, key or quarantine", subject)
+		return nil, s.usageError("unknown subject %q, expected config, instance, service, key, quarantine or organisation", subject)
 	}
 }
 
@@ -79,6 +85,8 @@
 		for _, other := range facts.GetKey().GetOthers() {
 			findings = append(findings, explainKey(request.GetKey(), other))
 		}
+	case "organisation":
+		findings = []*pb.Finding{explainOrganisation(state, request.GetOrganisation(), facts.GetCapOwners())}
 	case "quarantine":
 		findings = explainQuarantines(request.GetFingerprint(), facts.GetQuarantines())
 	}
--- a/internal/ctl/rpc.go
+++ b/internal/ctl/rpc.go
@@ -56,5 +56,6 @@
 	reply.Endpoints = facts.GetEndpoints()
 	reply.Quarantines = facts.GetQuarantines()
 	reply.Key = facts.GetKey()
+	reply.CapOwners = facts.GetCapOwners()
 	return nil
 }
--- a/internal/ctl/session_test.go
+++ b/internal/ctl/session_test.go
@@ -78,6 +78,9 @@
 	if keeper := s.nodes[0].keeper; keeper != nil {
 		reply.Key = keeper.Explain(once.Key{Service: "orders", Value: request.GetKey()})
 	}
+	if request.GetOrganisation() == "acme" {
+		reply.CapOwners = []*pb.CapOwner{{Region: "north", Instance: instances[1]}, {Region: "south"}}
+	}
 	if request.GetKey() == "k1" {
 		reply.Key = &pb.KeyFacts{Service: "orders", State: pb.RunState_RUN_STATE_UNKNOWN, Keeper: "orders-2",
 			Kind: pb.ErrorKind_ERROR_KIND_SERVER_FAILED, Message: "orders-1 broke off", FirstSeenUnixMs: 946684800000}
@@ -186,8 +189,17 @@
 		s.run("audit")
 		s.run("status -o json")
 		s.run("explain config")
+		s.run("explain organisation/other")
 		s.run("config show")
 		s.run("config show -o json")
+		s.files["back.yaml"] = s.files["one.yaml"] + "operator_version: 7\norganisations: [{name: acme, api_keys: [secret-1, secret-2], " +
+			"class: CLASS_CRITICAL, rate_per_s: 2.5, burst: 5, allowed_regions: [north]}]\n"
+		s.run("publish back.yaml -reason sale")
+		for _, name := range []string{"acme", "other", "nobody"} {
+			s.run("explain organisation " + name)
+		}
+		s.run("explain organisation/acme -o json")
+		s.run("explain organisation")
 		if strings.Contains(s.text.String(), "secret") {
 			t.Error("a key was shown")
 		}
--- a/internal/node/quota_test.go
+++ b/internal/node/quota_test.go
@@ -47,6 +47,13 @@
 		So(uses[0].GetGranted(), ShouldBeGreaterThan, 0)
 		So(uses[0].GetRefused(), ShouldBeGreaterThan, 0)
 		So(uses[0].GetOwner(), ShouldBeTrue)
+		explained := func(organisation string) []*pb.CapOwner {
+			return (&status{node: n}).Explain(&pb.ExplainRequest{Organisation: organisation}).GetCapOwners()
+		}
+		own := n.members.Self()
+		So(explained("acme"), ShouldHaveLength, 1)
+		So(explained("acme")[0].GetRegion()+"/"+explained("acme")[0].GetInstance(), ShouldEqual, own.GetRegion()+"/"+own.GetInstance())
+		So(explained("none"), ShouldBeEmpty)
 		publish(&pb.Organisation{Name: "acme", ApiKeys: []string{"k"}})
 		waitUntil(t, "no cap", func() bool { return adapter.Begin("acme") == nil })
 	})
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -189,6 +190,10 @@
 		reply.Key = s.keyFacts(request)
 		return reply
 	}
+	if request.GetOrganisation() != "" {
+		reply.CapOwners = s.capOwners(request.GetOrganisation())
+		return reply
+	}
 	for _, m := range s.node.members.View().Members {
 		if isAbout(request, m) {
 			reply.Endpoints = append(reply.Endpoints, s.endpointFacts(m))
@@ -200,6 +205,22 @@
 	return reply
 }
 
+// capOwners lists the owners of the parts of an organisation's usage cap by region.
+func (s *status) capOwners(organisation string) []*pb.CapOwner {
+	var owners []*pb.CapOwner
+	for region, address := range s.node.quota.Owners(organisation) {
+		owner := &pb.CapOwner{Region: region}
+		for _, m := range s.node.members.View().Members {
+			if m.GetRegion() == region && m.GetControlAddress() == address && isLive(m) {
+				owner.Instance = m.GetInstance()
+			}
+		}
+		owners = append(owners, owner)
+	}
+	slices.SortFunc(owners, func(a, b *pb.CapOwner) int { return strings.Compare(a.GetRegion(), b.GetRegion()) })
+	return owners
+}
+
 // keyFacts explains a key of the service named in the request, or else of the first
 // configured service whose keeper has seen it.
 func (s *status) keyFacts(request *pb.ExplainRequest) *pb.KeyFacts {
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -573,6 +573,20 @@
 	return b.level >= max((c.Burst+limits.ExtraBurst)*p.share, 1)
 }
 
+// Owners returns the address of the owner of the part of an organisation's cap in each
+// region, by this node's view; nil: the organisation has no cap.
+func (m *Manager) Owners(organisation string) map[string]string {
+	if _, capped := m.caps.Load().caps[organisation]; !capped {
+		return nil
+	}
+	p := m.placement.Load()
+	slot, owners := p.slot(organisation), make(map[string]string, len(p.regions))
+	for i, region := range p.regions {
+		owners[region] = p.owner(slot, i)
+	}
+	return owners
+}
+
 // Use returns the use of caps on this node, at most that of the 20 organisations with
 // the most requests.
 func (m *Manager) Use() []*pb.QuotaUse {
