member: short tail of a common start with lost messages

Cause, from traces of slow starts: a node ran one sync at a time. A lost message stopped its syncs until the call ended after syncTimeout (200 ms), and several in a row added up. Two smaller ones: a comparison begun before a change arrived could end the syncs, and the last node that a change hadn't reached could end its syncs by comparing with another such node, after which only a round (200 ms) or two told it.

Change: after 60 ms without a result the next member is asked meanwhile, up to three syncs at a time. Syncs end only with a table that hasn't changed since the equal comparisons. 100 ms after them the table is compared once more, in place of a round.

--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -37,6 +37,11 @@
 // looks for a node to join through.
 func (l *List) round() {
 	l.mu.Lock()
+	if l.skipRound {
+		l.skipRound = false
+		l.mu.Unlock()
+		return
+	}
 	partner := l.partners.pick(l.rand)
 	refreshing := !l.health.joined || l.health.refreshNeeded
 	l.mu.Unlock()
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -51,8 +51,12 @@
 	bulk           bulkDetector
 	// syncing reports whether syncUntilEqual runs or is scheduled.
 	syncing bool
-	started bool
-	closed  bool
+	// confirmScheduled reports whether confirmEqual is scheduled.
+	confirmScheduled bool
+	// skipRound reports whether confirmEqual has replaced the next round.
+	skipRound bool
+	started   bool
+	closed    bool
 
 	// joinToken is held by the one of several concurrent joins that compares tables.
 	joinToken chan struct{}
--- a/internal/member/options.go
+++ b/internal/member/options.go
@@ -29,6 +29,11 @@
 	// syncTimeout bounds one call of a sync. It is several times the round trip between
 	// regions.
 	syncTimeout = 200 * time.Millisecond
+	// syncPatience is how long a node waits for the result of a sync before it asks another
+	// member as well. It is longer than the round trip between regions.
+	syncPatience = 60 * time.Millisecond
+	// confirmDelay is how long after its syncs a node compares its table once more.
+	confirmDelay = 100 * time.Millisecond
 	// directTimeout and indirectTimeout bound the direct and the indirect step of a
 	// check.
 	directTimeout   = 300 * time.Millisecond
@@ -101,6 +106,8 @@
 	// node's syncs, and failedSyncs that without an answer.
 	equalSyncs  = 2
 	failedSyncs = 5
+	// maxRunningSyncs bounds the syncs that a node runs at the same time.
+	maxRunningSyncs = 3
 	// syncRegionPercent is the percentage of syncs with members of the own region.
 	syncRegionPercent = 67
 	// maxChecks bounds the checks that run concurrently.
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -49,19 +49,27 @@
 }
 
 // syncUntilEqual syncs with one random member after the other until equalSyncs tables in
-// succession were equal to this node's. While syncs transfer few records, the pauses
-// between them grow.
+// succession were equal to this node's, which hasn't changed since. While syncs transfer
+// few records, the pauses between them grow. After syncPatience without a result the next
+// member is asked meanwhile: one lost message would otherwise stop this node's syncs for
+// syncTimeout.
 func (l *List) syncUntilEqual() {
-	equal, failed := 0, 0
+	results := make(chan syncResult, maxRunningSyncs)
+	equal, failed, running := 0, 0, 0
+	var equalHash uint64
 	interval := syncInterval
-	for equal < equalSyncs && failed < failedSyncs {
-		l.mu.Lock()
-		partner := l.partners.pickForSync(l.rand)
-		l.mu.Unlock()
+	for {
+		partner := l.nextSyncPartner(equal, equalHash, failed)
 		if partner == nil {
-			break
+			return
 		}
-		result := l.sync(partner)
+		l.spawn(func() { results <- l.sync(partner) })
+		running++
+		result, ok := l.awaitSync(results, running)
+		if !ok {
+			continue
+		}
+		running--
 		switch {
 		case result.refused:
 			interval = roundInterval
@@ -69,6 +77,8 @@
 			failed++
 		case result.differed:
 			equal, failed = 0, 0
+		case result.hash != equalHash:
+			equal, failed, equalHash = 1, 0, result.hash
 		default:
 			equal++
 			failed = 0
@@ -86,9 +96,65 @@
 			return
 		}
 	}
+}
+
+// nextSyncPartner returns the member to sync with next, or nil if the syncs have ended:
+// equalSyncs tables were equal to this node's, which still has the hash that it had then,
+// or failedSyncs members in succession didn't answer, or no member is reachable.
+func (l *List) nextSyncPartner(equal int, equalHash uint64, failed int) *pb.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if (equal < equalSyncs || equalHash != l.table.hash) && failed < failedSyncs {
+		if partner := l.partners.pickForSync(l.rand); partner != nil {
+			return partner
+		}
+	}
 	l.syncing = false
+	if !l.confirmScheduled {
+		l.confirmScheduled = true
+		l.after(confirmDelay, l.confirmEqual)
+	}
+	return nil
+}
+
+// confirmEqual compares the table with another node's once more after the syncs have ended,
+// and syncs again if they differ. The last few nodes that a change hasn't reached may end
+// their syncs by comparing with each other, when those that know it have ended theirs. It
+// replaces a round, so that it costs no message more.
+func (l *List) confirmEqual() {
+	l.mu.Lock()
+	l.confirmScheduled = false
+	partner := l.partners.pickForSync(l.rand)
+	if partner == nil || l.syncing {
+		l.mu.Unlock()
+		return
+	}
+	l.skipRound = true
+	l.mu.Unlock()
+	if result := l.sync(partner); result.failed || result.differed {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.startSync()
+	}
+}
+
+// awaitSync waits for a result of the running syncs. It reports false if there is none
+// within syncPatience and another sync may run.
+func (l *List) awaitSync(results <-chan syncResult, running int) (result syncResult, ok bool) {
+	timer := time.NewTimer(syncPatience)
+	defer timer.Stop()
+	late := timer.C
+	if running >= maxRunningSyncs {
+		late = nil
+	}
+	select {
+	case result = <-results:
+		return result, true
+	case <-late:
+		return result, false
+	case <-l.ctx.Done():
+		return syncResult{failed: true}, true
+	}
 }
 
 // syncResult is the result of a sync.
@@ -100,6 +166,8 @@
 	// records sent and received.
 	differed    bool
 	transferred int
+	// hash is that of this node's table when the sync began.
+	hash uint64
 }
 
 // sync exchanges all differences with a member. A small table's keys are sent at once,
@@ -117,6 +185,7 @@
 // runSync sends a request that the budget has allowed and continues the sync from that
 // stage.
 func (l *List) runSync(addr string, expected *pb.Member, request *pb.MemberExchange, stage int) (result syncResult) {
+	result.hash = request.TableHash
 	for {
 		reply, ok := l.callSync(addr, request)
 		if !ok {
