balance: shortlists alternate between the data centres of a region

Cause: an entry asks up to five gates of its region, those of its own data centre first. With five servers or more there it never asked the next data centre: at the peak of one data centre's demand its servers had 5 to 16 requests in the queue, and 15 to 30% of them ended at the route's timeout, while servers 1.4 ms away had free slots and empty queues. Change: after two gates of the own data centre, the shortlist takes one of another and one of the own in turn. Nothing changes while one of the first two would start the request at once, and no more gates are asked.

--- a/internal/balance/offers.go
+++ b/internal/balance/offers.go
@@ -159,11 +159,28 @@
 	}
 	p.shuffle(ownDataCentre)
 	p.shuffle(otherDataCentres)
-	list := append(ownDataCentre, otherDataCentres...)
+	list := interleave(ownDataCentre, otherDataCentres)
 	p.moveUpUntried(list)
 	return list[:min(limit, len(list))]
 }
 
+// nearFirst is the number of endpoints of the own data centre at the head of a shortlist.
+const nearFirst = 2
+
+// interleave returns nearFirst endpoints of the own data centre, and then by turns those of
+// other data centres and of the own one. When the own data centre is short of capacity, most
+// of its servers have queues, and only those of others have room.
+func interleave(own, others []*Endpoint) []*Endpoint {
+	list := make([]*Endpoint, 0, len(own)+len(others))
+	list = append(list, own[:min(nearFirst, len(own))]...)
+	own = own[len(list):]
+	for len(own) > 0 && len(others) > 0 {
+		list = append(list, others[0], own[0])
+		own, others = own[1:], others[1:]
+	}
+	return append(append(list, others...), own...)
+}
+
 // moveUpUntried moves the first endpoint of list without a pick to untriedPosition,
 // unless it stands before that.
 func (p *pool) moveUpUntried(list []*Endpoint) {
--- a/internal/balance/offers_test.go
+++ b/internal/balance/offers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -256,3 +257,84 @@
 		})
 	})
 }
+
+// loadedServer is a server of the test below: slots that are free again at these times, and
+// at most as many requests waiting.
+type loadedServer []time.Duration
+
+// offer returns when a request would start, and the slot.
+func (s loadedServer) offer(now time.Duration) (wait time.Duration, slot int) {
+	for i := range s {
+		if s[i] < s[slot] {
+			slot = i
+		}
+	}
+	return max(s[slot]-now, 0), slot
+}
+
+// Guards against a data centre at the peak of its demand whose entries ask none of the
+// servers of the next one, which has room: an own data centre with as many servers as are
+// asked fills the whole shortlist.
+func TestUnevenDataCentres(t *testing.T) {
+	const (
+		servers, slots = 6, 14
+		work           = 400 * time.Millisecond
+		target         = 800 * time.Millisecond
+		asked, first   = 5, 2
+	)
+	Convey("At 1.5 times the capacity beside 0.4 of it, nearly all requests meet their target", t, func() {
+		random := rand.New(rand.NewPCG(1, 1))
+		loads := map[*Endpoint]loadedServer{}
+		var endpoints []*Endpoint
+		for i := range 2 * servers {
+			endpoint := endpointIn([]string{"busy", "calm"}[i%2], "north")
+			endpoint.Instance = strconv.Itoa(i)
+			endpoints = append(endpoints, endpoint)
+			loads[endpoint] = make(loadedServer, slots)
+		}
+		placers := map[string]*pool{}
+		for _, dataCentre := range []string{"busy", "calm"} {
+			b, err := New(EarliestFinish, Options{Region: "north", DataCentre: dataCentre, Rand: random.Uint64})
+			So(err, ShouldBeNil)
+			b.Update(endpoints, &pb.Policy{})
+			placers[dataCentre] = b.(*pool)
+		}
+		capacity := servers * slots / work.Seconds()
+		met, all := map[string]int{}, map[string]int{}
+		for now := time.Duration(0); now < 20*time.Second; now += time.Duration(random.ExpFloat64() * float64(time.Second) / (1.9 * capacity)) {
+			dataCentre := "calm"
+			if random.Float64() < 1.5/1.9 {
+				dataCentre = "busy"
+			}
+			p := placers[dataCentre]
+			list := p.Local(PickInfo{}, asked)
+			var offers []EndpointOffer
+			ask := func(list []*Endpoint) *EndpointOffer {
+				for _, endpoint := range list {
+					wait, _ := loads[endpoint].offer(now)
+					offers = append(offers, EndpointOffer{Endpoint: endpoint, Wait: wait, ServiceTime: work, AtOnce: wait == 0})
+				}
+				return p.Best(offers, target)
+			}
+			best := ask(list[:first])
+			if !best.IsSufficient() {
+				best = ask(list[first:])
+			}
+			if _, err := p.Take(best.Endpoint, PickInfo{}); err != nil {
+				t.Fatal(err)
+			}
+			p.Done(Result{Endpoint: best.Endpoint, Outcome: OutcomeSuccess, Latency: work})
+			wait, slot := loads[best.Endpoint].offer(now)
+			loads[best.Endpoint][slot] = now + wait + work
+			all[dataCentre]++
+			if wait+work <= target {
+				met[dataCentre]++
+			}
+		}
+		for _, dataCentre := range []string{"busy", "calm"} {
+			share := float64(met[dataCentre]) / float64(all[dataCentre])
+			t.Logf("%s: %.3f of %d met the target", dataCentre, share, all[dataCentre])
+			So(share, ShouldBeGreaterThan, 0.95)
+		}
+	})
+}
