admission: a call isn't counted behind organisations that it goes before

Cause: among organisations with as many requests running the nearer target goes first, but the estimate of a request's place counted one request of each of them as ahead. A call of a backend server with a near target was refused beside eight organisations with a request each, while its caller held a slot. Change: of the organisations with as many running, only those count that have a request which goes before.

--- a/internal/admission/fairshare_test.go
+++ b/internal/admission/fairshare_test.go
@@ -484,3 +484,29 @@
 		So(others, ShouldEqual, 4)
 	})
 }
+
+// Guards against offers that count a call with a near target behind one request of each
+// organisation, although it goes before them: it was refused while its caller held a slot.
+func TestEstimateOfCallBesideOrganisations(t *testing.T) {
+	Convey("A call goes before requests of organisations with as many running and later targets", t, func() {
+		q := fullQueue(2, 20, 200*time.Millisecond)
+		for i := range 8 {
+			r := request(low, 200*time.Millisecond, 2*time.Second, 3*time.Second)
+			r.Organisation = strconv.Itoa(i)
+			verdict, _, _ := q.Admit(start, r)
+			So(verdict, ShouldEqual, Queued)
+		}
+		q.Release(low, "")
+		q.Release(low, "")
+		q.Next(start)
+		q.Next(start)
+		call := request(low, 25*time.Millisecond, 100*time.Millisecond, 300*time.Millisecond)
+		estimate := q.Estimate(start, call)
+		So(estimate.Refused, ShouldBeFalse)
+		So(estimate.Wait, ShouldEqual, 100*time.Millisecond)
+		verdict, ticket, _ := q.Admit(start, call)
+		So(verdict, ShouldEqual, Queued)
+		q.Release(low, "0")
+		So(q.Next(start), ShouldEqual, ticket)
+	})
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -334,7 +334,20 @@
 			place++
 		}
 	}
-	return ahead + q.shares.aheadOfPlace(&t.Request, place)
+	return ahead + q.shares.aheadOfPlace(&t.Request, place, func(organisation string) bool {
+		return q.hasTicketBefore(now, organisation, t)
+	})
+}
+
+// hasTicketBefore reports whether a waiting request of an organisation goes before t, which
+// has the same class, if both organisations have as many running.
+func (q *Queue) hasTicketBefore(now time.Time, organisation string, t *Ticket) bool {
+	for _, other := range q.waiting {
+		if other.Class == t.Class && other.Organisation == organisation && q.before(now, other, t) {
+			return true
+		}
+	}
+	return false
 }
 
 // before reports whether a goes before b if they have the same organisation: first by
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -87,14 +87,19 @@
 }
 
 // aheadOfPlace returns the number of waiting requests of other organisations that go before
-// a request with that many of its own organisation running or before it. Those with as many
-// count, since they came earlier.
-func (s *shares) aheadOfPlace(r *Request, place int) int {
+// a request with that many of its own organisation running or before it. Of those with as
+// many, the organisations count for which precedes is true.
+func (s *shares) aheadOfPlace(r *Request, place int, precedes func(organisation string) bool) int {
 	ahead, round := 0, place/s.weight(r.Organisation)
 	for key, held := range s.byKey {
-		if key.class == r.Class && key.organisation != r.Organisation {
-			ahead += min(max((round+1)*s.weight(key.organisation)-held.running, 0), held.waiting)
+		if key.class != r.Class || key.organisation == r.Organisation || held.waiting == 0 {
+			continue
 		}
+		level := round
+		if precedes(key.organisation) {
+			level++
+		}
+		ahead += min(max(level*s.weight(key.organisation)-held.running, 0), held.waiting)
 	}
 	return ahead
 }
