admission: no start during a slowdown that must end after the deadline

Cause: a request keeps the speed at which it starts. Requests that waited for the end of a slowdown also held up others that would have started at once, and filled the queue while slots were free. Change: such a request isn't started. If it would be late after the slowdown, too, it is refused at once, certified not run, also when it already waits, so that another server can take it. A request that doesn't wait for the slowdown starts beside those that do.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -53,6 +53,28 @@
 	return extra > s.Remaining && now.Add(s.Remaining).Before(r.latestStart())
 }
 
+// minServiceTimePercent is the shortest time that a request is likely to take, in percent
+// of its expected service time: service times vary by about a third.
+const minServiceTimePercent = 70
+
+// isTooSlowNow reports whether the request can't be answered before its deadline if it
+// starts during the slowdown, as a request keeps the speed at which it started.
+func (r *Request) isTooSlowNow(now time.Time, s Slowdown) bool {
+	shortest := time.Duration(float64(r.ServiceTime) * s.Factor * minServiceTimePercent / 100)
+	return s.Factor > 1 && now.Add(shortest).After(r.Deadline)
+}
+
+// waitsForNormalSpeed reports whether the request isn't started during the slowdown.
+func (r *Request) waitsForNormalSpeed(now time.Time, s Slowdown) bool {
+	return r.isFasterAfterSlowdown(now, s) || r.isTooSlowNow(now, s)
+}
+
+// isLateAtAnySpeed reports whether the request can be answered before its deadline neither
+// if it starts during the slowdown nor if it waits for its end.
+func (r *Request) isLateAtAnySpeed(now time.Time, s Slowdown) bool {
+	return r.isTooSlowNow(now, s) && !now.Add(s.Remaining).Before(r.latestStart())
+}
+
 // maxQueueTimeAtRate is how long a request may wait while the server's rate is limited:
 // about a round trip to another region. Requests of higher classes that arrive meanwhile
 // take the allowance first, so a longer wait would often be in vain.
@@ -150,7 +172,7 @@
 }
 
 func (q *Queue) admit(now time.Time, r Request) (verdict Verdict, ticket, evicted *Ticket) {
-	if q.running < q.limit && len(q.waiting) == 0 && !r.isFasterAfterSlowdown(now, q.slowdown) && q.TakeStart(now) {
+	if q.startsAtOnce(now, &r) && q.TakeStart(now) {
 		q.running++
 		q.shares.started(&r)
 		return Granted, nil, nil
@@ -172,6 +194,12 @@
 	return Queued, ticket, evicted
 }
 
+// startsAtOnce reports whether a request that arrives starts without waiting, if the server's
+// rates allow it. Requests that wait for the end of a slowdown don't hold it up.
+func (q *Queue) startsAtOnce(now time.Time, r *Request) bool {
+	return q.running < q.limit && !r.waitsForNormalSpeed(now, q.slowdown) && q.nextEligible(now) == nil
+}
+
 // newTicket returns the ticket of a request that arrives now.
 func (q *Queue) newTicket(now time.Time, r Request, sequence uint64) *Ticket {
 	t := &Ticket{Request: r, sequence: sequence, latest: r.latestStart()}
@@ -234,7 +262,7 @@
 	if estimate.Wait < q.slowdown.Remaining {
 		estimate.ServiceTime = time.Duration(float64(r.ServiceTime) * q.slowdown.Factor)
 	}
-	mustQueue := q.running >= q.limit || len(q.waiting) > 0 || r.isFasterAfterSlowdown(now, q.slowdown) || q.StartWait(now, 0) > 0
+	mustQueue := !q.startsAtOnce(now, &r) || q.StartWait(now, 0) > 0
 	estimate.AtOnce = !mustQueue && q.slowdown.Factor <= 1
 	estimate.Refused = mustQueue && (!q.canStartInTime(now, t) || !q.hasCapacity(now, t))
 	return estimate
@@ -291,7 +319,7 @@
 func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
 	ahead := q.ahead(now, t)
 	wait := max(q.expectedWaitBehind(ahead), q.StartWait(now, ahead))
-	if t.isFasterAfterSlowdown(now, q.slowdown) {
+	if t.waitsForNormalSpeed(now, q.slowdown) {
 		wait = max(wait, q.slowdown.Remaining)
 	}
 	return wait
@@ -375,7 +403,7 @@
 func (q *Queue) nextEligible(now time.Time) *Ticket {
 	var best *Ticket
 	for _, t := range q.waiting {
-		if t.isFasterAfterSlowdown(now, q.slowdown) {
+		if t.waitsForNormalSpeed(now, q.slowdown) {
 			continue
 		}
 		if best == nil || q.startsBefore(now, t, best) {
@@ -451,7 +479,7 @@
 }
 
 // RemoveExpired removes and returns the requests that have waited until their latest
-// start.
+// start, or can't be answered in time because of a slowdown: another server may be faster.
 func (q *Queue) RemoveExpired(now time.Time) []*Ticket {
 	var expired []*Ticket
 	isCold := q.Cold.IsCold(now)
@@ -459,7 +487,7 @@
 		if isCold {
 			q.limitWait(now, t) // it may have begun to wait at a warm server
 		}
-		if now.After(t.latest) {
+		if now.After(t.latest) || t.isLateAtAnySpeed(now, q.slowdown) {
 			expired = append(expired, t)
 		}
 	}
