gate: lines on refused requests name class and organisation

Cause: a refusal could not be traced to the order of classes and organisations. Change: both are in the line. The organisation's name isn't secret, its keys are.

--- a/internal/gate/trace.go
+++ b/internal/gate/trace.go
@@ -24,6 +24,7 @@
 	report := g.Report()
 	rate, _ := g.limiter.rateLimit()
 	g.logger.Info("request refused", zap.String("request", call.RequestID), zap.String("route", call.Route),
+		zap.Stringer("class", call.Class), zap.String("organisation", call.Organisation),
 		zap.String("outcome", errkind.Of(refusal.Kind).Name), zap.Uint32("running", report.GetInFlight()),
 		zap.Uint32("queued", report.GetQueued()), zap.Uint32("limit", report.GetSlots()),
 		zap.Uint32("usual_us", report.GetLatencyUs()), zap.Uint32("slowness_percent", report.GetSlownessPercent()),
