balance: inspect a balancer without a trace

Cause: egretctl where has to tell which server a request would go to, by the same code, but a pick counts as a request in flight, takes from the byte budget and moves the rotation.

--- a/internal/balance/offers.go
+++ b/internal/balance/offers.go
@@ -204,7 +204,7 @@
 	}
 	longest := longestServiceTime(offers)
 	early, near := p.earlyAnswers(offers, longest, untilTarget)
-	if len(early) > 0 && p.options.Rand()%exploreInterval == 0 {
+	if len(early) > 0 && !p.inspects && p.options.Rand()%exploreInterval == 0 {
 		return early[p.options.Rand()%uint64(len(early))]
 	}
 	var best *EndpointOffer
--- a/internal/balance/policies.go
+++ b/internal/balance/policies.go
@@ -182,6 +182,8 @@
 // all are hot, the endpoint with the lowest load.
 type probePool struct {
 	rand func() uint64
+	// inspects is set if choices don't count as uses of load reports.
+	inspects bool
 }
 
 func (p *probePool) choose(now time.Time, snap *snapshot, from *candidates) *endpointState {
@@ -207,7 +209,9 @@
 	if chosen == nil {
 		return from.nth(p.rand())
 	}
-	chosen.loadReport.Load().uses.Add(1)
+	if !p.inspects {
+		chosen.loadReport.Load().uses.Add(1)
+	}
 	return chosen
 }
 
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -70,6 +70,8 @@
 	ejections  atomic.Int64
 	// usesOffers reports whether requests are placed by offers of gates.
 	usesOffers bool
+	// inspects is set if choices aren't recorded; see Inspect.
+	inspects bool
 	// remoteRoundTrip is the mean round-trip time of an offer question to another
 	// region, in nanoseconds.
 	remoteRoundTrip atomic.Int64
@@ -172,6 +174,9 @@
 // budget and reports whether the request may be sent there. A request that isn't allowed
 // in the own region is counted but never refused: it can't be placed here.
 func (p *pool) chargeRemote(info PickInfo) bool {
+	if p.inspects {
+		return !info.Regions.Allows(p.options.Region) || p.spillover.canAfford(info.BodyBytes)
+	}
 	if !info.Regions.Allows(p.options.Region) {
 		p.spillover.chargeUnconditionally(info.BodyBytes)
 		return true
@@ -181,6 +186,9 @@
 
 // take records a pick.
 func (p *pool) take(s *endpointState) *Endpoint {
+	if p.inspects {
+		return s.endpoint
+	}
 	s.inFlight.Add(1)
 	s.counts.picks.Add(1)
 	return s.endpoint
@@ -188,6 +196,9 @@
 
 // Done implements Balancer.
 func (p *pool) Done(result Result) {
+	if p.inspects {
+		return
+	}
 	snap := p.current.Load()
 	s, ok := snap.byKey[endpointKey{result.Endpoint.Instance, result.Endpoint.Incarnation}]
 	if !ok {
--- a/internal/balance/spillover.go
+++ b/internal/balance/spillover.go
@@ -125,8 +125,13 @@
 // the budget is exhausted.
 func (s *spillover) charge(bodyBytes int64) bool {
 	budget := s.budget.Load()
-	cost := min(max(bodyBytes, 0)+assumedRequestBytes, int64(budget.Burst()))
-	return cost > 0 && budget.AllowN(timeNow(), int(cost))
+	cost := requestCost(budget, bodyBytes)
+	return cost > 0 && budget.AllowN(timeNow(), cost)
+}
+
+// requestCost returns the expected bytes of a request, at most the burst of the budget.
+func requestCost(budget *rate.Limiter, bodyBytes int64) int {
+	return int(min(max(bodyBytes, 0)+assumedRequestBytes, int64(budget.Burst())))
 }
 
 // chargeUnconditionally takes the expected bytes of a request from the budget, even if
@@ -134,9 +139,9 @@
 // requests may leave the region again soon after such requests have ended.
 func (s *spillover) chargeUnconditionally(bodyBytes int64) {
 	budget, now := s.budget.Load(), timeNow()
-	cost := min(max(bodyBytes, 0)+assumedRequestBytes, int64(budget.Burst()))
+	cost := requestCost(budget, bodyBytes)
 	if cost > 0 && budget.TokensAt(now) > -float64(budget.Burst()) {
-		budget.ReserveN(now, int(cost))
+		budget.ReserveN(now, cost)
 	}
 }
 
--- a/internal/node/reporting_balancer.go
+++ b/internal/node/reporting_balancer.go
@@ -35,3 +35,11 @@
 	}
 	return balance.Stats{}
 }
+
+// Inspect implements balance.Inspector. It returns nil if the balancer can't be inspected.
+func (r *reportingBalancer) Inspect() balance.Inspection {
+	if inspector, ok := r.Balancer.(balance.Inspector); ok {
+		return inspector.Inspect()
+	}
+	return nil
+}
