gate: reasons in offers to an operator's question

Cause: an offer says that a gate would refuse, but not why, nor that its server is cold. Change: a question marked as inspect gets kind and message of the refusal and whether the server is cold. Ordinary offers stay as they are.

--- a/internal/gate/offer.go
+++ b/internal/gate/offer.go
@@ -23,9 +23,15 @@
 		Deadline:     now.Add(time.Duration(question.GetDeadlineUs()) * time.Microsecond),
 	}}
 	offer := &pb.Offer{Incarnation: g.options.Incarnation}
+	if question.GetInspect() {
+		defer g.explainOffer(offer)
+	}
 	server, refusal := g.serverFor(call)
 	if refusal != nil {
 		offer.Refused = true
+		if question.GetInspect() {
+			offer.Kind, offer.Message = refusal.Kind, refusal.Message
+		}
 		return offer
 	}
 	if question.GetBook() {
@@ -45,6 +51,19 @@
 	return offer
 }
 
+// explainOffer adds to an offer what only an operator needs.
+func (g *Gate) explainOffer(offer *pb.Offer) {
+	offer.Cold = g.cold.enabled.Load() && g.limiter.isCold()
+	if !offer.Refused || offer.Kind != 0 {
+		return
+	}
+	if server := g.server.Load(); server != nil && server.notices.hasLeftBefore() {
+		offer.Kind, offer.Message = pb.ErrorKind_ERROR_KIND_DRAINING, "the backend server says that it leaves"
+		return
+	}
+	offer.Kind, offer.Message = pb.ErrorKind_ERROR_KIND_OVERLOADED, "no slot is free, and the queue has no place from which the request would be answered in time"
+}
+
 // offer sets the expected wait and service time of a request in an offer.
 func (l *limiter) offer(s slotRequest, into *pb.Offer) {
 	l.mu.Lock()
