entry: say what would be decided about a request

Cause: nobody can ask a node where a request would go and why, or why it would be refused. The parts of prepare that both need have names of their own now.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -78,6 +78,9 @@
 	// uncertain is the answer of the latest attempt that may have run and was
 	// retried; nil if there was none.
 	uncertain *wire.Answer
+	// inspection records a decision that isn't followed by a request; nil for a caller's
+	// request.
+	inspection *inspection
 	// pending is the result of the last attempt until it is reported to the balancer.
 	pending balance.Result
 	// cancel ends the attempts' context, on which the body of the answer depends; nil if
@@ -114,7 +117,7 @@
 func (x *exchange) serve() {
 	x.balancer = x.handler.options.BalancerFor(x.service.name)
 	if x.balancer == nil {
-		x.writeAnswer(wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NO_SERVER, "no backend server of the service is known yet"))
+		x.writeAnswer(noBalancer())
 		return
 	}
 	if x.handler.usesGuard(x) {
@@ -124,6 +127,11 @@
 	x.writeAnswer(x.runUntilStopped())
 }
 
+// noBalancer returns the refusal of a request for a service without a balancer.
+func noBalancer() *wire.Answer {
+	return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NO_SERVER, "no backend server of the service is known yet")
+}
+
 // errStopped is the cause with which a request's context ends when the node's stop leaves
 // no more time.
 var errStopped = errors.New("the node is stopping")
@@ -173,9 +181,7 @@
 			if last != nil && errkind.KindOf(err) != pb.ErrorKind_ERROR_KIND_UNAUTHENTICATED {
 				return last
 			}
-			refusal := errorAnswer(err)
-			refusal.RetryAfter = x.retryAfter
-			return refusal
+			return x.selectionRefusal(err)
 		}
 		if refusal := x.awaitQuota(ctx); refusal != nil {
 			return refusal
@@ -197,6 +203,13 @@
 	}
 }
 
+// selectionRefusal returns the refusal of a request for which no endpoint was selected.
+func (x *exchange) selectionRefusal(err error) *wire.Answer {
+	refusal := errorAnswer(err)
+	refusal.RetryAfter = x.retryAfter
+	return refusal
+}
+
 // nextEndpoint selects the endpoint of the next attempt. It fails when the deadline
 // has passed or when only endpoints are left that refused the request.
 func (x *exchange) nextEndpoint(ctx context.Context, last *wire.Answer) (*balance.Endpoint, error) {
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -80,7 +80,9 @@
 		return endpoint, nil
 	}
 	if wait, refused := balance.ShortestRefusalWait(offers); refused {
-		x.service.state.hedging.RecordRefusal(time.Now())
+		if x.inspection == nil {
+			x.service.state.hedging.RecordRefusal(time.Now())
+		}
 		x.retryAfter = admission.RetryAfter(wait)
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_OVERLOADED, "every gate that was asked would refuse")
 	}
@@ -119,6 +121,9 @@
 		refusal.RetryAfter = x.returnAfter
 		return
 	}
+	if x.inspection != nil {
+		return
+	}
 	question := x.offerQuestion()
 	question.Book = true
 	reply := x.handler.options.Offers.Ask(ctx, []string{home.ControlAddress}, question, ownRegionWaitLimits)[0]
@@ -155,24 +160,33 @@
 	replies := x.handler.options.Offers.Ask(ctx, addresses, x.offerQuestion(), limits)
 	offers := make([]balance.EndpointOffer, 0, len(replies))
 	for i, reply := range replies {
-		if reply.Offer == nil || reply.Offer.GetIncarnation() != endpoints[i].Incarnation {
-			continue
+		x.inspection.recordReply(endpoints[i], reply)
+		if isOfferOf(reply, endpoints[i]) {
+			offers = append(offers, newEndpointOffer(endpoints[i], reply))
 		}
-		offers = append(offers, balance.EndpointOffer{
-			Endpoint:    endpoints[i],
-			Refused:     reply.Offer.GetRefused(),
-			Wait:        time.Duration(reply.Offer.GetWaitUs()) * time.Microsecond,
-			ServiceTime: time.Duration(reply.Offer.GetWorkUs()) * time.Microsecond,
-			ErrorRate:   float64(reply.Offer.GetErrorsPermille()) / 1000,
-			RoundTrip:   reply.RoundTrip,
-			AtOnce:      reply.Offer.GetAtOnce(),
-			Promised:    reply.Offer.GetPromised(),
-			ReturnAfter: time.Duration(reply.Offer.GetReturnAfterUs()) * time.Microsecond,
-		})
 	}
 	return offers
 }
 
+// isOfferOf reports whether a reply has an offer of that incarnation of an endpoint.
+func isOfferOf(reply offer.Reply, endpoint *balance.Endpoint) bool {
+	return reply.Offer != nil && reply.Offer.GetIncarnation() == endpoint.Incarnation
+}
+
+func newEndpointOffer(endpoint *balance.Endpoint, reply offer.Reply) balance.EndpointOffer {
+	return balance.EndpointOffer{
+		Endpoint:    endpoint,
+		Refused:     reply.Offer.GetRefused(),
+		Wait:        time.Duration(reply.Offer.GetWaitUs()) * time.Microsecond,
+		ServiceTime: time.Duration(reply.Offer.GetWorkUs()) * time.Microsecond,
+		ErrorRate:   float64(reply.Offer.GetErrorsPermille()) / 1000,
+		RoundTrip:   reply.RoundTrip,
+		AtOnce:      reply.Offer.GetAtOnce(),
+		Promised:    reply.Offer.GetPromised(),
+		ReturnAfter: time.Duration(reply.Offer.GetReturnAfterUs()) * time.Microsecond,
+	}
+}
+
 // offerQuestion describes the request to gates.
 func (x *exchange) offerQuestion() *pb.OfferQuestion {
 	question := &pb.OfferQuestion{
@@ -182,6 +196,7 @@
 		Organisation: x.call.Organisation,
 		TargetUs:     microseconds(time.Until(x.call.Target)),
 		DeadlineUs:   microseconds(time.Until(x.call.Deadline)),
+		Inspect:      x.inspection != nil,
 	}
 	if x.home != nil {
 		question.Fingerprint = x.call.Fingerprint
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -40,11 +40,11 @@
 	x.waitUntilStarted()
 	routes := x.handler.routes.Load()
 	if routes == nil {
-		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "the node has no configuration yet")
+		return noConfiguration()
 	}
 	found, ok := routes.find(x.r)
 	if !ok {
-		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_UNKNOWN_SERVICE, "no route or service matches the host and path")
+		return noRoute()
 	}
 	x.service, x.route = found.service, found.route
 	if refusal := x.authenticate(routes); refusal != nil {
@@ -52,17 +52,43 @@
 	}
 	x.service.state.budget.RecordRequest()
 	x.service.state.hedging.RecordRequest()
+	if refusal := x.buildCall(routes, found.uri); refusal != nil {
+		return refusal
+	}
+	if !x.call.Idempotent {
+		if err := pipeline.AwaitTurn(x.r); err != nil {
+			return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_CANCELLED, err.Error())
+		}
+	}
+	x.sanitizeHeader()
+	if err := x.prepareBody(); err != nil {
+		return errorAnswer(err)
+	}
+	return x.setFingerprint()
+}
+
+func noConfiguration() *wire.Answer {
+	return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NOT_READY, "the node has no configuration yet")
+}
+
+func noRoute() *wire.Answer {
+	return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_UNKNOWN_SERVICE, "no route or service matches the host and path")
+}
+
+// buildCall builds and checks the call of a request whose service, route and organisation
+// are known. It returns a refusal if the request can't be sent.
+func (x *exchange) buildCall(routes *Routes, uri string) *wire.Answer {
 	x.maxBodyBytes = routes.limits.bodyLimit(x.route)
 	x.call = wire.Call{
 		Meta: wire.Meta{
 			RequestID:  x.requestID,
-			Service:    found.service.name,
+			Service:    x.service.name,
 			Route:      x.route.name,
 			Caller:     x.handler.options.Service,
 			Idempotent: x.route.isIdempotent(x.r.Method),
 		},
 		Method:    x.r.Method,
-		URI:       found.uri,
+		URI:       uri,
 		Host:      x.r.Host,
 		Header:    x.r.Header,
 		BodyBytes: x.r.ContentLength,
@@ -72,19 +98,7 @@
 		return errorAnswer(err)
 	}
 	x.regionsAtArrival = routes.regions
-	if refusal := x.refuseWithoutRegion(); refusal != nil {
-		return refusal
-	}
-	if !x.call.Idempotent {
-		if err := pipeline.AwaitTurn(x.r); err != nil {
-			return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_CANCELLED, err.Error())
-		}
-	}
-	x.sanitizeHeader()
-	if err := x.prepareBody(); err != nil {
-		return errorAnswer(err)
-	}
-	return x.setFingerprint()
+	return x.refuseWithoutRegion()
 }
 
 // maxStartWait limits the wait of a request that arrives while the node starts: a
--- a/internal/entry/requestroute.go
+++ b/internal/entry/requestroute.go
@@ -103,17 +103,31 @@
 func (s *serviceSplit) next() *service {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	best := 0
+	best := s.nextIndexLocked()
 	for i := range s.targets {
 		s.targets[i].currentWeight += s.targets[i].weight
-		if s.targets[i].currentWeight > s.targets[best].currentWeight {
-			best = i
-		}
 	}
 	s.targets[best].currentWeight -= s.total
 	return s.targets[best].service
 }
 
+// peek returns the service that next would return.
+func (s *serviceSplit) peek() *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets[s.nextIndexLocked()].service
+}
+
+func (s *serviceSplit) nextIndexLocked() int {
+	best := 0
+	for i, target := range s.targets {
+		if target.currentWeight+target.weight > s.targets[best].currentWeight+s.targets[best].weight {
+			best = i
+		}
+	}
+	return best
+}
+
 // callerLimits limit what a caller may send.
 type callerLimits struct {
 	headerBytes int
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -234,11 +234,16 @@
 // find matches a request to a service and route. It returns false if there is no such
 // service.
 func (routes *Routes) find(r *http.Request) (match, bool) {
+	return routes.findBy(r, (*requestRoute).nextService)
+}
+
+// findBy is find with the choice among the services of a request route.
+func (routes *Routes) findBy(r *http.Request, choose func(*requestRoute) *service) (match, bool) {
 	received := targetOf(r)
 	m, path := match{uri: received.uri}, received.path
 	host := hostName(r.Host)
 	if found := routes.findRequestRoute(host, path); found != nil {
-		m.service, m.route = found.nextService(), &found.route
+		m.service, m.route = choose(found), &found.route
 		return m, true
 	}
 	if routes.requestRoutesOnly {
--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -51,14 +51,22 @@
 	}
 	if a.RetryAfter > 0 {
 		header["Retry-After"] = []string{strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)}
-	} else if properties.RetryAfter > 0 {
-		seconds := (properties.RetryAfter + time.Second - 1) / time.Second
-		header["Retry-After"] = []string{strconv.Itoa(int(seconds))}
+	} else if wait := a.SuggestedWait(); wait > 0 {
+		header["Retry-After"] = []string{strconv.Itoa(int(wait / time.Second))}
 	}
 	w.WriteHeader(properties.Status)
 	_, _ = w.Write(body) // fails only if the caller disconnected
 }
 
+// SuggestedWait returns the wait in the answer's Retry-After header; zero: it has none. The
+// default of a kind is in whole seconds.
+func (a *Answer) SuggestedWait() time.Duration {
+	if a.RetryAfter > 0 {
+		return a.RetryAfter
+	}
+	return (errkind.Of(a.Kind).RetryAfter + time.Second - 1) / time.Second * time.Second
+}
+
 // NewErrorBody returns the body of an answer made by the system.
 func NewErrorBody(properties errkind.Properties, message, requestID string) ErrorBody {
 	return ErrorBody{Kind: properties.Name, Run: RunName(properties.Run), Message: message, RequestID: requestID}
