egretctl where: where a request would go, and why

Change: the command with text and JSON, the control call Status.Where, which passes a question about another instance's entry on, and the reasons that only the membership knows. -node takes an instance's name besides a control address. Result: golden files of both outputs, by an entry with a stand-in for offers; TestWhere and TestWhereElsewhere of node pass with the race detector and fail without the members' reasons, with the instance's name passed on, and without the check of who answered.

--- a/internal/ctl/control.go
+++ b/internal/ctl/control.go
@@ -23,6 +23,8 @@
 	nodeStatus(ctx context.Context) (*pb.NodeStatus, error)
 	// explain returns the node's facts about the subject of request.
 	explain(ctx context.Context, request *pb.ExplainRequest) (*pb.ExplainReply, error)
+	// where returns what a node's entry would decide about a request.
+	where(ctx context.Context, question *pb.WhereRequest) (*pb.WhereReply, error)
 }
 
 // connect returns access to the fleet through -node, -log or both, and a function that
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -61,6 +61,7 @@
 		{"undrain", "INSTANCE", "let an instance take work again", flagsChange, runUndrain},
 		{"evacuate", "DATA_CENTRE", "send no more requests to the servers of a data centre", flagsEvacuate, runEvacuate},
 		{"audit", "", "list changes, accepted and refused", flagsAudit, runAudit},
+		{"where", "", "say what would be decided about a request, without sending it", flagsWhere, runWhere},
 		{"explain", "config|instance|service|key|quarantine [NAME]", "say why", nil, runExplain},
 	}
 }
--- a/internal/ctl/rpc.go
+++ b/internal/ctl/rpc.go
@@ -14,6 +14,8 @@
 	Fleet() *pb.FleetStatus
 	// Explain returns the facts about the subject of request.
 	Explain(request *pb.ExplainRequest) *pb.ExplainReply
+	// Where returns what an entry would decide about a request.
+	Where(question *pb.WhereRequest) (*pb.WhereReply, error)
 }
 
 // StatusRPC serves a NodeStatus to control calls. It is a receiver for net/rpc.
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -45,6 +45,9 @@
 	force       bool
 	end         bool
 
+	// question is that of where.
+	question pb.WhereRequest
+
 	startOver bool
 }
 
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -89,3 +89,21 @@
 	}
 	return nil
 }
+
+// Peek implements entry.QuotaReader.
+func (a quotaAdapter) Peek(organisation string) *pb.WhereCap {
+	standing, ok := a.manager.Peek(organisation)
+	if !ok {
+		return nil
+	}
+	return &pb.WhereCap{
+		RatePerS:     standing.Cap.RatePerS,
+		Burst:        standing.Cap.Burst,
+		Held:         uint32(standing.Held),
+		OwnsPart:     standing.OwnsPart,
+		PartTokens:   standing.PartTokens,
+		DemandPerS:   standing.DemandPerS,
+		Refusing:     standing.Refused,
+		RetryAfterMs: uint32(standing.RetryAfter.Milliseconds()),
+	}
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -242,28 +242,35 @@
 
 // endpointFacts combines what the membership and the balancer know about a member.
 func (s *status) endpointFacts(m *pb.Member) *pb.EndpointFacts {
-	facts := &pb.EndpointFacts{Member: proto.CloneOf(m)}
+	facts := &pb.EndpointFacts{Member: proto.CloneOf(m), Reasons: memberReasons(s.node.follower.Current(), m)}
+	for _, known := range s.facts(m.GetService()) {
+		if known.Endpoint.Instance == m.GetInstance() {
+			addBalancerFacts(facts, known)
+		}
+	}
+	return facts
+}
+
+// memberReasons returns why a member gets no work, or less, by the membership and the
+// configuration in force.
+func memberReasons(state *pb.ConfigState, m *pb.Member) []string {
+	var reasons []string
 	switch m.GetStatus() {
 	case pb.MemberStatus_MEMBER_STATUS_ALIVE:
 	case pb.MemberStatus_MEMBER_STATUS_SUSPECT:
-		facts.Reasons = append(facts.Reasons, "suspect")
+		reasons = append(reasons, "suspect")
 	case pb.MemberStatus_MEMBER_STATUS_DRAINING:
-		facts.Reasons = append(facts.Reasons, "draining")
+		reasons = append(reasons, "draining")
 	default:
-		facts.Reasons = append(facts.Reasons, "unreachable")
+		reasons = append(reasons, "unreachable")
 	}
-	if isDraining(s.node.follower.Current(), m.GetInstance()) {
-		facts.Reasons = append(facts.Reasons, "drained by an operator")
+	if isDraining(state, m.GetInstance()) {
+		reasons = append(reasons, "drained by an operator")
 	}
-	if slices.Contains(configlog.Evacuated(s.node.follower.Current()), m.GetDataCentre()) {
-		facts.Reasons = append(facts.Reasons, "data centre evacuated")
+	if slices.Contains(configlog.Evacuated(state), m.GetDataCentre()) {
+		reasons = append(reasons, "data centre evacuated")
 	}
-	for _, known := range s.facts(m.GetService()) {
-		if known.Endpoint.Instance == m.GetInstance() {
-			addBalancerFacts(facts, known)
-		}
-	}
-	return facts
+	return reasons
 }
 
 // addBalancerFacts adds a balancer's facts about an endpoint to its explanation.
