egretctl where -request: what was decided about a request

Change: the entry keeps an encoded record of each request that it logs, successes and failures apart, in 2 MiB; Status.Where with an id returns them, from one node or from all. Nodes out of reach and memories that are empty since a restart are named. Records are copies without the query and without keys, since texts of a request hold on to its whole header. TestRequestMemory and the golden files pass with the race detector; five parts off in turn, each fails a test.

--- a/internal/ctl/session_test.go
+++ b/internal/ctl/session_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/egretfield/egretfield/internal/entry"
 	"github.com/egretfield/egretfield/internal/once"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/peer"
@@ -35,6 +36,8 @@
 	ids   int
 	// extraMembers are listed in Fleet without a status of their own.
 	extraMembers []*pb.Member
+	// entry decides about requests; nil before the first question about one.
+	entry *entry.Handler
 	// executions is the number of orders that ran.
 	executions int
 }
--- a/internal/ctl/where.go
+++ b/internal/ctl/where.go
@@ -43,17 +43,20 @@
 	s.flags.StringVar(&s.question.Host, "host", "", "host of the request")
 	s.flags.StringVar(&s.question.Path, "path", "", "path of the request, with its query")
 	s.flags.StringVar(&s.question.Method, "method", "GET", "method of the request")
+	s.flags.StringVar(&s.question.RequestId, "request", "", "id of a request: show what was decided about it, instead of -host to -organisation")
 	s.flags.StringVar(&s.question.Organisation, "organisation", "", "organisation whose API key the request carries (default: it carries none)")
 }
 
 // runWhere asks an entry what it would decide about a request.
 func runWhere(ctx context.Context, s *session) error {
-	if s.question.GetHost() == "" || s.question.GetPath() == "" {
-		return s.usageError("expected -host and -path")
+	aboutRequest := s.question.GetHost() != "" || s.question.GetPath() != ""
+	if s.question.GetRequestId() != "" && aboutRequest || s.question.GetRequestId() == "" && (s.question.GetHost() == "" || s.question.GetPath() == "") {
+		return s.usageError("expected -host and -path, or -request")
 	}
 	if err := s.separateInstance(); err != nil {
 		return err
 	}
+	s.question.Everywhere = s.question.GetRequestId() != "" && s.question.GetInstance() == ""
 	if s.node != "" {
 		s.log = "" // only a node decides about requests
 	}
@@ -74,6 +77,9 @@
 	if reply.GetUnreachable() != "" {
 		return errkind.New(pb.ErrorKind_ERROR_KIND_TIMEOUT, "the entry of %s couldn't be asked", reply.GetInstance())
 	}
+	if s.question.GetRequestId() != "" && !remembers(reply) {
+		return errkind.New(pb.ErrorKind_ERROR_KIND_NOT_FOUND, "no entry that was asked remembers the request")
+	}
 	return nil
 }
 
@@ -99,6 +105,10 @@
 		s.printf("entry of %s: unreachable: %s", reply.GetInstance(), reply.GetUnreachable())
 		return nil
 	}
+	if s.question.GetRequestId() != "" {
+		s.printMemories(reply.GetMemories())
+		return nil
+	}
 	s.printDecision(reply.GetInstance(), reply.GetDecision())
 	return nil
 }
--- a/internal/ctl/where_test.go
+++ b/internal/ctl/where_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/offer"
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/wire"
 )
 
 // fixedOffers replies with offers by address. Other gates don't reply.
@@ -25,7 +28,9 @@
 }
 
 // fixedCap is a quota with one cap, whose use it doesn't track.
-type fixedCap struct{ entry.Quota }
+type fixedCap struct{}
+
+func (fixedCap) Begin(string) entry.QuotaClaim { return nil }
 
 func (fixedCap) Peek(organisation string) *pb.WhereCap {
 	if organisation != "acme" {
@@ -34,14 +39,38 @@
 	return &pb.WhereCap{RatePerS: 46, Burst: 46, Held: 2, OwnsPart: true, PartTokens: 12.5, DemandPerS: 3}
 }
 
-// Where implements NodeStatus by an entry with a stand-in for offers.
+// fixedGate answers every request with status 200.
+type fixedGate struct{}
+
+func (fixedGate) Do(context.Context, *wire.Call) *wire.Answer {
+	return &wire.Answer{Status: http.StatusOK, Header: http.Header{}}
+}
+
+// Where implements NodeStatus by an entry with a stand-in for offers. orders-3 is out of
+// reach, and orders-2 has just started.
 func (s *testFleet) Where(question *pb.WhereRequest) (*pb.WhereReply, error) {
-	switch question.GetInstance() {
-	case "":
-	case instances[2]:
-		return &pb.WhereReply{Instance: instances[2], Unreachable: "no answer from 10.0.0.9:7003"}, nil
-	default:
+	const unreachable = "no answer from 10.0.0.9:7003"
+	switch {
+	case question.GetInstance() == instances[2]:
+		return &pb.WhereReply{Instance: instances[2], Unreachable: unreachable}, nil
+	case question.GetInstance() != "":
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_NOT_FOUND, "the node asked knows no instance %q", question.GetInstance())
+	case question.GetRequestId() != "":
+		memory := s.entry.Remembered(question.GetRequestId())
+		memory.Instance, memory.StartedUnixMs = instances[0], 946684800000
+		return &pb.WhereReply{Instance: instances[0], Memories: []*pb.WhereMemory{
+			memory, {Instance: instances[1], StartedUnixMs: 946684800000}, {Instance: instances[2], Unreachable: unreachable},
+		}}, nil
+	}
+	s.startEntry()
+	decision, err := s.entry.Where(context.Background(), question)
+	return &pb.WhereReply{Instance: instances[0], Decision: decision}, err
+}
+
+// startEntry starts the entry that decides about requests.
+func (s *testFleet) startEntry() {
+	if s.entry != nil {
+		return
 	}
 	balancer, _ := balance.New(balance.EarliestFinish, balance.Options{Region: "north", DataCentre: "taipei", Rand: func() uint64 { return 1 }})
 	var endpoints []*balance.Endpoint
@@ -50,8 +79,8 @@
 		endpoints = append(endpoints, &balance.Endpoint{Instance: f[0], Incarnation: 1, Region: f[1], DataCentre: f[2], ControlAddress: f[0], Slots: 4})
 	}
 	balancer.Update(endpoints, &pb.Policy{})
-	handler := entry.New(entry.Options{
-		Region: "north", Quota: fixedCap{},
+	s.entry = entry.New(entry.Options{
+		Instance: "orders-2", Region: "north", Quota: fixedCap{}, Local: fixedGate{},
 		BalancerFor: func(string) balance.Balancer { return balancer },
 		Offers: fixedOffers{
 			"orders-1": {Incarnation: 1, WaitUs: 20_000, WorkUs: 30_000},
@@ -59,9 +88,18 @@
 			"orders-3": {Incarnation: 1, Refused: true, Kind: pb.ErrorKind_ERROR_KIND_OVERLOADED, WaitUs: 90_000, WorkUs: 30_000, Cold: true},
 		},
 	})
-	handler.SetRoutes(entry.NewRoutesOfState(s.nodes[0].follower.Current()).AtVersion(1))
-	decision, err := handler.Where(context.Background(), question)
-	return &pb.WhereReply{Instance: instances[0], Decision: decision}, err
+	s.entry.SetRoutes(entry.NewRoutesOfState(s.nodes[0].follower.Current()).AtVersion(1))
+}
+
+// send sends a request with an id, and an API key unless it is empty, to the entry.
+func (s *testFleet) send(id, host, key string) {
+	request := httptest.NewRequest(http.MethodGet, "/pages?q=1", nil)
+	request.Host = host
+	request.Header.Set(wire.HeaderRequestID, id)
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	s.entry.ServeHTTP(httptest.NewRecorder(), request)
 }
 
 // TestWhere guards against output that leaves out part of a decision, or shows a key.
@@ -89,6 +127,18 @@
 		s.run("where -host shop.example -path / -node orders-3 -o json")
 		s.run("where -host shop.example -path / -node orders-9")
 		s.run("where -host shop.example -path / -node 10.0.0.9:7003")
+		s.run("where -request r1")
+		s.send("r1", "shop.example", "secret-1")
+		s.send("r2", "shop.example", "")
+		s.send("r2", "mixed.example", "secret-2")
+		s.run("where -request r1")
+		s.run("where -request r2")
+		s.run("where -request r1 -o json")
+		s.run("where -request r1 -node orders-3")
+		s.log.SetFaults(&pb.LogFaults{Down: true}) // the log isn't needed
+		s.run("where -request r1 -log http://log")
+		s.log.SetFaults(&pb.LogFaults{})
+		s.run("where -request r1 -host shop.example -path /")
 		if strings.Contains(s.text.String(), "secret") {
 			t.Error("a key was shown")
 		}
--- /dev/null
+++ b/internal/entry/memory_test.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/egretfield/egretfield/internal/balance"
+	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/wire"
+)
+
+// rememberedExchange returns an exchange of usual size whose request has an API key.
+func rememberedExchange(id string) *exchange {
+	r := httptest.NewRequest(http.MethodGet, "/pages/1?token=secret", nil)
+	r.Host = "shop.example"
+	r.Header.Set("Authorization", "Bearer secret")
+	offer := &balance.EndpointOffer{Wait: time.Millisecond, ServiceTime: 30 * time.Millisecond, RoundTrip: time.Millisecond}
+	return &exchange{
+		r: r, requestID: id, startTime: time.Now(), key: "secret",
+		service: &service{name: "catalogue"}, route: &route{name: "pages"},
+		call:       wire.Call{Meta: wire.Meta{Deadline: time.Now().Add(time.Second), Organisation: "acme", Class: pb.Class_CLASS_NORMAL}},
+		attemptLog: []attemptRecord{{instance: "catalogue-taipei-1", region: "north", outcome: "answered", latency: 35 * time.Millisecond, offer: offer}},
+	}
+}
+
+// TestRequestMemory guards against a memory of requests that grows without bound, loses
+// recent requests, or holds a key.
+func TestRequestMemory(t *testing.T) {
+	Convey("Given an entry that logged more requests than it remembers", t, func() {
+		h := &Handler{}
+		const requests = 20_000
+		for i := range requests {
+			h.memory.add(rememberedExchange(fmt.Sprintf("request-%d.", i)), &wire.Answer{Status: http.StatusOK})
+		}
+		refusal := wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_OVERLOADED, "no slot")
+		refusal.RetryAfter = 200 * time.Millisecond
+		h.memory.add(rememberedExchange("refused"), refusal)
+		h.memory.add(rememberedExchange("\xffbroken"), refusal)
+		h.memory.add(rememberedExchange(strings.Repeat("x", maxRememberedText+1)), refusal)
+		Convey("it remembers the latest, within the bound", func() {
+			memory := h.Remembered(fmt.Sprintf("request-%d.", requests-1))
+			t.Logf("%d successes remembered, %d bytes each", len(h.memory.successes.encoded), maxSuccessBytes/len(h.memory.successes.encoded))
+			So(memory.GetRemembered(), ShouldBeBetween, 5000, 10_000)
+			So(len(memory.GetRecords()), ShouldEqual, 1)
+			So(memory.GetOldestUnixMs(), ShouldBeGreaterThan, 0)
+			So(h.Remembered("request-0.").GetRecords(), ShouldBeEmpty)
+			So(h.memory.successes.bytes, ShouldBeBetween, maxSuccessBytes-1000, maxSuccessBytes+1)
+			sum := 0
+			for _, encoded := range h.memory.successes.encoded {
+				sum += len(encoded) + recordOverheadBytes
+			}
+			So(sum, ShouldEqual, h.memory.successes.bytes)
+		})
+		Convey("a record has what was decided, and no key", func() {
+			record := h.Remembered("refused").GetRecords()[0]
+			So(record.GetKind(), ShouldEqual, pb.ErrorKind_ERROR_KIND_OVERLOADED)
+			So(record.GetStatus(), ShouldEqual, http.StatusServiceUnavailable)
+			So(record.GetRetryAfterMs(), ShouldEqual, 200)
+			So(record.GetPath(), ShouldEqual, "/pages/1")
+			So(record.GetAttempts()[0].GetOffer().GetWaitUs(), ShouldEqual, 1000)
+			So(record.String(), ShouldNotContainSubstring, "secret")
+		})
+		Convey("an id that was used again has all its records, newest first, up to a limit", func() {
+			for i := range 2 * maxFoundRecords {
+				x := rememberedExchange("again")
+				x.startTime = time.UnixMilli(int64(i))
+				h.memory.add(x, refusal)
+			}
+			found := h.Remembered("again").GetRecords()
+			So(len(found), ShouldEqual, maxFoundRecords)
+			So(found[0].GetTimeUnixMs(), ShouldEqual, 2*maxFoundRecords-1)
+		})
+	})
+}
+
+func BenchmarkRequestMemory(b *testing.B) {
+	h, x := &Handler{}, rememberedExchange("request")
+	b.ReportAllocs()
+	for b.Loop() {
+		h.memory.add(x, &wire.Answer{Status: http.StatusOK})
+	}
+}
--- a/internal/node/where.go
+++ b/internal/node/where.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/egretfield/egretfield/internal/ctl"
@@ -24,9 +25,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), whereTimeout)
 	defer cancel()
 	own := s.node.settings.GetInstance()
+	if question.GetEverywhere() && question.GetRequestId() != "" {
+		return &pb.WhereReply{Instance: own, Memories: s.askAll(question)}, nil
+	}
 	if instance := question.GetInstance(); instance != "" && instance != own {
 		return askInstance(ctx, s.node.controlClient, s.node.members.View().Members, question)
 	}
+	if question.GetRequestId() != "" {
+		return &pb.WhereReply{Instance: own, Memories: []*pb.WhereMemory{s.memory(question.GetRequestId())}}, nil
+	}
 	decision, err := s.node.entry.Where(ctx, question)
 	if err != nil {
 		return nil, err
@@ -58,6 +65,58 @@
 	return reply, nil
 }
 
+// memory returns what this node's entry remembers of a request.
+func (s *status) memory(requestID string) *pb.WhereMemory {
+	memory := s.node.entry.Remembered(requestID)
+	memory.Instance = s.node.settings.GetInstance()
+	memory.StartedUnixMs = s.node.started.UnixMilli()
+	return memory
+}
+
+// askAll asks every node for what it remembers of a request.
+func (s *status) askAll(question *pb.WhereRequest) []*pb.WhereMemory {
+	members := slices.DeleteFunc(slices.Clone(s.node.members.View().Members), func(m *pb.Member) bool {
+		return m.GetStatus() == pb.MemberStatus_MEMBER_STATUS_LEFT
+	})
+	memories := make([]*pb.WhereMemory, len(members))
+	var group errgroup.Group
+	group.SetLimit(maxFleetCalls)
+	for i, m := range members {
+		group.Go(func() error {
+			memories[i] = s.memoryOf(m, members, question.GetRequestId())
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return memories
+}
+
+// memoryOf returns what the entry of a member remembers of a request.
+func (s *status) memoryOf(m *pb.Member, members []*pb.Member, requestID string) *pb.WhereMemory {
+	if m.GetInstance() == s.node.settings.GetInstance() {
+		return s.memory(requestID)
+	}
+	memory := &pb.WhereMemory{Instance: m.GetInstance()}
+	if !isLive(m) {
+		memory.Unreachable = "dead, by the member list"
+		return memory
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fleetCallTimeout)
+	defer cancel()
+	reply, err := askInstance(ctx, s.node.controlClient, members, &pb.WhereRequest{Instance: m.GetInstance(), RequestId: requestID})
+	switch {
+	case err != nil:
+		memory.Unreachable = err.Error()
+	case reply.GetUnreachable() != "":
+		memory.Unreachable = reply.GetUnreachable()
+	case len(reply.GetMemories()) == 1:
+		return reply.GetMemories()[0]
+	default:
+		memory.Unreachable = "remembers no requests in this build"
+	}
+	return memory
+}
+
 // addMembers adds what the membership and the configuration know about the service's
 // members, also of those that are no candidates for the entry.
 func (s *status) addMembers(decision *pb.WhereDecision) {
--- a/internal/node/where_test.go
+++ b/internal/node/where_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/egretfield/egretfield/internal/standin/logserver"
 	"github.com/egretfield/egretfield/internal/standin/memlog"
 	"github.com/egretfield/egretfield/internal/standin/virtualtime"
+	"github.com/egretfield/egretfield/internal/wire"
 )
 
 // TestWhere guards against a control call that doesn't reach the entry, its gate or the cap,
@@ -50,6 +52,23 @@
 			c := candidates()
 			return len(c) == 1 && c[0].GetOffer().GetAtOnce() && c[0].GetReasons()[0] == "chosen: best offer"
 		})
+		request, err := http.NewRequest(http.MethodGet, "http://"+n.Addresses().Caller+"/x", nil)
+		So(err, ShouldBeNil)
+		request.Host = "orders"
+		request.Header.Set(wire.HeaderRequestID, "r1")
+		response, err := http.DefaultClient.Do(request)
+		So(err, ShouldBeNil)
+		So(response.Body.Close(), ShouldBeNil)
+		reply := &pb.WhereReply{}
+		So(client.Call(context.Background(), n.Addresses().Control, ctl.MethodWhere, &pb.WhereRequest{RequestId: "r1", Everywhere: true}, reply), ShouldBeNil)
+		So(len(reply.GetMemories()), ShouldEqual, 1)
+		So(reply.GetMemories()[0].GetStartedUnixMs(), ShouldEqual, n.started.UnixMilli())
+		So(reply.GetMemories()[0].GetRecords()[0].GetKind(), ShouldEqual, pb.ErrorKind_ERROR_KIND_UNAUTHENTICATED)
+		gone := &pb.Member{Instance: "gone", ControlAddress: "127.0.0.1:1", Status: pb.MemberStatus_MEMBER_STATUS_ALIVE}
+		unreachable := func() string { return (&status{node: n}).memoryOf(gone, []*pb.Member{gone}, "r1").GetUnreachable() }
+		So(unreachable(), ShouldNotBeEmpty)
+		gone.Status = pb.MemberStatus_MEMBER_STATUS_DEAD
+		So(unreachable(), ShouldEqual, "dead, by the member list")
 		applyChange(t, n, log, &pb.ConfigRecord{Change: &pb.ConfigRecord_Evacuate{Evacuate: &pb.Evacuate{DataCentre: "taipei", Evacuate: true}}})
 		waitUntil(t, "evacuated candidate", func() bool {
 			c := candidates()
