egretctl where: path prefix of the route

Cause: routes of a service have no name, so that the output said "route: (none)" for all of them. Change: the output has the path prefix of the route that matched.

--- a/internal/ctl/where.go
+++ b/internal/ctl/where.go
@@ -121,7 +121,7 @@
 	if decision.GetService() == "" {
 		return
 	}
-	s.printf("route: %s", orNone(decision.GetRoute()))
+	s.printf("route: %s, path prefix %s", orNone(decision.GetRoute()), orNone(decision.GetPathPrefix()))
 	s.printf("service: %s%s", decision.GetService(), splitText(decision.GetSplit()))
 	idempotent := ""
 	if decision.GetIdempotent() {
--- a/internal/entry/where.go
+++ b/internal/entry/where.go
@@ -145,7 +145,7 @@
 	}
 	refusal := x.buildCall(routes, found.uri)
 	filter := x.regionFilter()
-	decision.Route, decision.Service = x.route.name, x.service.name
+	decision.Route, decision.PathPrefix, decision.Service = x.route.name, x.route.pathPrefix, x.service.name
 	decision.Class, decision.Idempotent = x.call.Class, x.call.Idempotent
 	decision.RouteRegions, decision.OrganisationRegions = filter.Route, filter.Organisation
 	decision.TargetMs = uint32(x.route.target.Milliseconds())
