--- a/internal/ctl/session_test.go
+++ b/internal/ctl/session_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/egretfield/egretfield/internal/entry"
 	"github.com/egretfield/egretfield/internal/once"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/peer"
@@ -37,6 +38,8 @@
 	extraMembers []*pb.Member
 	// organisation sends the orders; empty: no organisations are configured.
 	organisation string
+	// entry decides about requests; nil before the first question about one.
+	entry *entry.Handler
 	// executions is the number of orders that ran.
 	executions int
 }
