--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -62,7 +62,7 @@
 		{"evacuate", "DATA_CENTRE", "send no more requests to the servers of a data centre", flagsEvacuate, runEvacuate},
 		{"audit", "", "list changes, accepted and refused", flagsAudit, runAudit},
 		{"where", "", "say what would be decided about a request, without sending it", flagsWhere, runWhere},
-		{"explain", "config|instance|service|key|quarantine [NAME]", "say why", nil, runExplain},
+		{"explain", "config|instance|service|key|quarantine|organisation [NAME]", "say why", nil, runExplain},
 	}
 }
 
--- a/internal/once/cluster_test.go
+++ b/internal/once/cluster_test.go
@@ -93,7 +93,10 @@
 	staleMembers []Member
 	loseRequests int
 	loseReplies  int
-	appended     [][]byte
+	// older are nodes of a build that doesn't tell organisations apart. Set before start.
+	older map[string]bool
+
+	appended [][]byte
 }
 
 func newCluster(opts Options, retention memlog.Options) *cluster {
@@ -103,6 +106,7 @@
 		processes: make(map[string]*process),
 		absent:    make(map[[2]string]bool),
 		cut:       make(map[[2]string]bool),
+		older:     make(map[string]bool),
 	}
 }
 
@@ -239,6 +243,9 @@
 // Call implements peer.Client.
 func (p *process) Call(ctx context.Context, addr, method string, args, reply proto.Message) error {
 	sent := proto.CloneOf(args)
+	if p.c.older[addr] {
+		dropOrganisations(sent)
+	}
 	result := make(chan proto.Message, 1)
 	failed := make(chan error, 1)
 	go func() {
@@ -263,6 +270,26 @@
 	}
 }
 
+// dropOrganisations removes the fields that a node of an older build doesn't read. It keeps
+// those of answers, which it stores as they are.
+func dropOrganisations(message proto.Message) {
+	switch message := message.(type) {
+	case *pb.KeyBegin:
+		message.Organisation = nil
+	case *pb.KeyFinish:
+		message.Organisation = nil
+	case *pb.KeyBeginReply:
+		message.Scopes = false
+	case *pb.KeeperTransfer:
+		for _, table := range message.Tables {
+			for _, entry := range table.Entries {
+				entry.Organisation, entry.ByOrganisation = nil, nil
+				entry.Fingerprint = max(entry.Fingerprint, 1)
+			}
+		}
+	}
+}
+
 // deliver passes a call to the process that runs at addr at this moment.
 func (p *process) deliver(addr, method string, args, reply proto.Message) (proto.Message, error) {
 	if err := p.pauser.await(); err != nil {
@@ -277,6 +304,9 @@
 		return nil, err
 	}
 	received, err := to.m.serve(method, args, reply)
+	if err == nil && p.c.older[addr] {
+		dropOrganisations(received)
+	}
 	if err == nil && loseReply {
 		err = errLost
 	}
--- a/internal/once/rpc.go
+++ b/internal/once/rpc.go
@@ -93,6 +93,7 @@
 // begin answers Begin from the table whose interval contains the key's
 // timestamp.
 func (m *Manager) begin(ctx context.Context, args *pb.KeyBegin, reply *pb.KeyBeginReply) {
+	reply.Scopes = true
 	key, err := shard.KeyFromBytes(args.Service, args.Key)
 	if err != nil || len(args.Grant) != len(keeper.GrantID{}) {
 		reply.Verdict = pb.KeyVerdict_KEY_VERDICT_REFUSED
@@ -110,7 +111,7 @@
 		m.awaitLimit(waitCtx, key.Timestamp())
 	}
 	result := table.Begin(ctx, keeper.Request{
-		Key:         key,
+		Key:         key.In(shard.ScopeOf(args.Organisation)),
 		Fingerprint: args.Fingerprint,
 		Grant:       keeper.GrantID(args.Grant),
 		Wait:        min(millisOf(args.WaitMs), maxKeeperWait),
@@ -138,7 +139,7 @@
 	if args.HasAnswer {
 		answer = args.Answer
 	}
-	result := table.Finish(key, keeper.GrantID(args.Grant), args.State, answer)
+	result := table.Finish(key.In(shard.ScopeOf(args.Organisation)), keeper.GrantID(args.Grant), args.State, answer)
 	reply.Verdict = result.Verdict
 	reply.MovedTo = result.MovedTo
 }
