balance: new servers of the own data centre are asked first again

Cause: found in review. Change: the own data centre's new server is moved up first, one of another only if there is none. Result: the new case of TestShortlists fails before and passes after.

--- a/internal/balance/offers.go
+++ b/internal/balance/offers.go
@@ -159,20 +159,24 @@
 	}
 	p.shuffle(ownDataCentre)
 	p.shuffle(otherDataCentres)
+	isMoved := p.moveUpUntried(ownDataCentre)
 	list := interleave(ownDataCentre, otherDataCentres)
-	p.moveUpUntried(list)
+	if !isMoved {
+		p.moveUpUntried(list)
+	}
 	return list[:min(limit, len(list))]
 }
 
-// nearFirst is the number of endpoints of the own data centre at the head of a shortlist.
-const nearFirst = 2
+// ownDataCentreHead is the number of endpoints of the own data centre at the head of a
+// shortlist: as many as the entry asks before all others.
+const ownDataCentreHead = 2
 
-// interleave returns nearFirst endpoints of the own data centre, and then by turns those of
+// interleave returns ownDataCentreHead endpoints of the own data centre, and then by turns those of
 // other data centres and of the own one. When the own data centre is short of capacity, most
 // of its servers have queues, and only those of others have room.
 func interleave(own, others []*Endpoint) []*Endpoint {
 	list := make([]*Endpoint, 0, len(own)+len(others))
-	list = append(list, own[:min(nearFirst, len(own))]...)
+	list = append(list, own[:min(ownDataCentreHead, len(own))]...)
 	own = own[len(list):]
 	for len(own) > 0 && len(others) > 0 {
 		list = append(list, others[0], own[0])
@@ -182,8 +186,8 @@
 }
 
 // moveUpUntried moves the first endpoint of list without a pick to untriedPosition,
-// unless it stands before that.
-func (p *pool) moveUpUntried(list []*Endpoint) {
+// unless it stands before that. It reports whether there was one.
+func (p *pool) moveUpUntried(list []*Endpoint) bool {
 	for i, endpoint := range list {
 		if !p.isUntried(endpoint) {
 			continue
@@ -191,8 +195,9 @@
 		for ; i > untriedPosition; i-- {
 			list[i], list[i-1] = list[i-1], list[i]
 		}
-		return
+		return true
 	}
+	return false
 }
 
 // isUntried reports whether this entry has not picked the endpoint yet.
--- a/internal/balance/offers_test.go
+++ b/internal/balance/offers_test.go
@@ -49,6 +49,14 @@
 		Convey("endpoints already tried are left out", func() {
 			So(p.Local(PickInfo{Tried: []string{"b-1"}}, 5), ShouldResemble, []*Endpoint{a})
 		})
+		Convey("one of the own data centre without a request is asked before one of another", func() {
+			joined := endpointIn("b", "north")
+			joined.Instance = "b-2"
+			p.Update([]*Endpoint{a, b, joined, remoteEndpoint}, &pb.Policy{})
+			_, err := p.Take(b, PickInfo{})
+			So(err, ShouldBeNil)
+			So(p.Local(PickInfo{}, 2), ShouldContain, joined)
+		})
 		Convey("an endpoint that was removed can't be picked", func() {
 			p.Update([]*Endpoint{a}, &pb.Policy{})
 			_, err := p.Take(b, PickInfo{})
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -20,7 +20,7 @@
 	maxOwnRegionGates = 5
 	// firstOwnRegionGates is the number of these gates that are asked first. The others
 	// are asked only when none of the first would start the request at once, which saves
-	// half of the messages.
+	// half of the messages. The shortlist begins with as many of the own data centre.
 	firstOwnRegionGates = 2
 	// maxOtherRegionGates is the number of gates of other regions that are asked.
 	maxOtherRegionGates = 4
