admission: estimates beside a slowdown count what goes first

Cause: found in review. (1) A route without samples of its own was judged by the mean of others: a gate with all slots free refused 2,999 of 2,999 short requests for a minute, and as none ran, the estimate was never corrected. (2) Estimates counted requests that wait for the end of a slowdown as ahead of those that start beside them: 700 ms of wait for a request that starts at once. (3) The number of requests ahead took a pass over the queue for each organisation, 7.8 ms at 1,000 waiting, under the limiter's lock. (4) Of a share with a greater weight the whole weight counted as ahead if one request was. Change: a request is given up because of a slowdown only if its route has a sample of the last 5 s. Requests that wait for normal speed don't count for one that doesn't, and one that starts at once has no wait. One pass counts the requests that precede by organisation. The cold counters leave out requests that were removed because of a slowdown. Result: TestStartDuringSlowdown now sets a mean hold time, without which it didn't show (2); it and TestMeasuredRecently fail with the change off. TestSharedMachineWithNearDeadlines as before: no request ended too late.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -22,6 +22,8 @@
 	// ServiceTime is the expected time that the backend server takes at normal
 	// speed.
 	ServiceTime time.Duration
+	// IsMeasured reports whether ServiceTime comes from recent requests of the same route.
+	IsMeasured bool
 	// Fingerprint is equal for a request and its return after a refusal; zero: unknown.
 	Fingerprint uint64
 	// hasPlace: the request returns at the time that it was promised. It goes before others
@@ -53,26 +55,26 @@
 	return extra > s.Remaining && now.Add(s.Remaining).Before(r.latestStart())
 }
 
-// minServiceTimePercent is the shortest time that a request is likely to take, in percent
-// of its expected service time: service times vary by about a third.
+// minServiceTimePercent is the shortest time that most requests take, in percent of their
+// expected service time. A request is given up only if even that is too long.
 const minServiceTimePercent = 70
 
 // isTooSlowNow reports whether the request can't be answered before its deadline if it
 // starts during the slowdown, as a request keeps the speed at which it started.
 func (r *Request) isTooSlowNow(now time.Time, s Slowdown) bool {
 	shortest := time.Duration(float64(r.ServiceTime) * s.Factor * minServiceTimePercent / 100)
-	return s.Factor > 1 && now.Add(shortest).After(r.Deadline)
+	return s.Factor > 1 && r.IsMeasured && now.Add(shortest).After(r.Deadline)
 }
 
 // waitsForNormalSpeed reports whether the request isn't started during the slowdown.
-func (r *Request) waitsForNormalSpeed(now time.Time, s Slowdown) bool {
-	return r.isFasterAfterSlowdown(now, s) || r.isTooSlowNow(now, s)
+func (q *Queue) waitsForNormalSpeed(now time.Time, r *Request) bool {
+	return r.isFasterAfterSlowdown(now, q.slowdown) || r.isTooSlowNow(now, q.slowdown)
 }
 
 // isLateAtAnySpeed reports whether the request can be answered before its deadline neither
 // if it starts during the slowdown nor if it waits for its end.
-func (r *Request) isLateAtAnySpeed(now time.Time, s Slowdown) bool {
-	return r.isTooSlowNow(now, s) && !now.Add(s.Remaining).Before(r.latestStart())
+func (q *Queue) isLateAtAnySpeed(now time.Time, r *Request) bool {
+	return r.isTooSlowNow(now, q.slowdown) && !now.Add(q.slowdown.Remaining).Before(r.latestStart())
 }
 
 // maxQueueTimeAtRate is how long a request may wait while the server's rate is limited:
@@ -96,7 +98,7 @@
 
 // LatestStart returns the time until which the request may wait: the last one at which
 // it can start and still be answered before its deadline, or an earlier one while the
-// server's rate is limited. A request that waits until then is refused.
+// server's rate is limited. A request that waits until then is refused, if not before.
 func (t *Ticket) LatestStart() time.Time { return t.latest }
 
 // Verdict is the decision on a request that arrives.
@@ -197,7 +199,7 @@
 // startsAtOnce reports whether a request that arrives starts without waiting, if the server's
 // rates allow it. Requests that wait for the end of a slowdown don't hold it up.
 func (q *Queue) startsAtOnce(now time.Time, r *Request) bool {
-	return q.running < q.limit && !r.waitsForNormalSpeed(now, q.slowdown) && q.nextEligible(now) == nil
+	return q.running < q.limit && !q.waitsForNormalSpeed(now, r) && q.nextEligible(now) == nil
 }
 
 // newTicket returns the ticket of a request that arrives now.
@@ -258,13 +260,16 @@
 func (q *Queue) Estimate(now time.Time, r Request) QueueEstimate {
 	r.hasPlace = q.Places.find(now, &r) >= 0
 	t := q.newTicket(now, r, q.lastSequence+1)
-	estimate := QueueEstimate{Wait: q.expectedWait(now, t), ServiceTime: r.ServiceTime, HasPlace: r.hasPlace}
+	startsAtOnce := q.startsAtOnce(now, &r) && q.StartWait(now, 0) == 0
+	estimate := QueueEstimate{ServiceTime: r.ServiceTime, HasPlace: r.hasPlace}
+	if !startsAtOnce {
+		estimate.Wait = q.expectedWait(now, t)
+	}
 	if estimate.Wait < q.slowdown.Remaining {
 		estimate.ServiceTime = time.Duration(float64(r.ServiceTime) * q.slowdown.Factor)
 	}
-	mustQueue := !q.startsAtOnce(now, &r) || q.StartWait(now, 0) > 0
-	estimate.AtOnce = !mustQueue && q.slowdown.Factor <= 1
-	estimate.Refused = mustQueue && (!q.canStartInTime(now, t) || !q.hasCapacity(now, t))
+	estimate.AtOnce = startsAtOnce && q.slowdown.Factor <= 1
+	estimate.Refused = !startsAtOnce && (!q.canStartInTime(now, t) || !q.hasCapacity(now, t))
 	return estimate
 }
 
@@ -319,7 +324,7 @@
 func (q *Queue) expectedWait(now time.Time, t *Ticket) time.Duration {
 	ahead := q.ahead(now, t)
 	wait := max(q.expectedWaitBehind(ahead), q.StartWait(now, ahead))
-	if t.waitsForNormalSpeed(now, q.slowdown) {
+	if q.waitsForNormalSpeed(now, &t.Request) {
 		wait = max(wait, q.slowdown.Remaining)
 	}
 	return wait
@@ -344,38 +349,29 @@
 // ahead returns the number of waiting requests that are expected to go before t.
 func (q *Queue) ahead(now time.Time, t *Ticket) int {
 	areShared := q.shares.areShared(&t.Request)
-	ahead := 0
+	waits := q.waitsForNormalSpeed(now, &t.Request)
+	ahead, ofShare := 0, 0
+	var preceding map[string]int
 	for _, other := range q.waiting {
-		if areShared && other.Class == t.Class && other.Organisation != t.Organisation {
-			continue // counted below
+		if !q.before(now, other, t) || !waits && q.waitsForNormalSpeed(now, &other.Request) {
+			continue
 		}
-		if q.before(now, other, t) {
+		switch {
+		case !areShared || other.Class != t.Class:
 			ahead++
+		case other.Organisation == t.Organisation:
+			ofShare++
+		default:
+			if preceding == nil {
+				preceding = make(map[string]int)
+			}
+			preceding[other.Organisation]++
 		}
 	}
 	if !areShared {
 		return ahead
 	}
-	place := q.shares.running(&t.Request)
-	for _, other := range q.waiting {
-		if sameShare(&other.Request, &t.Request) && q.before(now, other, t) {
-			place++
-		}
-	}
-	return ahead + q.shares.aheadOfPlace(&t.Request, place, func(organisation string) bool {
-		return q.hasTicketBefore(now, organisation, t)
-	})
-}
-
-// hasTicketBefore reports whether a waiting request of an organisation goes before t, which
-// has the same class, if both organisations have as many running.
-func (q *Queue) hasTicketBefore(now time.Time, organisation string, t *Ticket) bool {
-	for _, other := range q.waiting {
-		if other.Class == t.Class && other.Organisation == organisation && q.before(now, other, t) {
-			return true
-		}
-	}
-	return false
+	return ahead + ofShare + q.shares.aheadOfPlace(&t.Request, q.shares.running(&t.Request)+ofShare, preceding)
 }
 
 // before reports whether a goes before b if they have the same organisation: first by
@@ -403,7 +399,7 @@
 func (q *Queue) nextEligible(now time.Time) *Ticket {
 	var best *Ticket
 	for _, t := range q.waiting {
-		if t.waitsForNormalSpeed(now, q.slowdown) {
+		if q.waitsForNormalSpeed(now, &t.Request) {
 			continue
 		}
 		if best == nil || q.startsBefore(now, t, best) {
@@ -487,7 +483,7 @@
 		if isCold {
 			q.limitWait(now, t) // it may have begun to wait at a warm server
 		}
-		if now.After(t.latest) || t.isLateAtAnySpeed(now, q.slowdown) {
+		if now.After(t.latest) || q.isLateAtAnySpeed(now, &t.Request) {
 			expired = append(expired, t)
 		}
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -105,8 +105,8 @@
 	Convey("Samples from slowdowns don't raise the estimate of a route", t, func() {
 		times := &ServiceTimes{}
 		for range 50 {
-			times.Add("r", 100*time.Millisecond, 1)
-			times.Add("r", 400*time.Millisecond, 4)
+			times.Add(start, "r", 100*time.Millisecond, 1)
+			times.Add(start, "r", 400*time.Millisecond, 4)
 		}
 		So(times.Estimate("r"), ShouldAlmostEqual, 100*time.Millisecond, time.Millisecond)
 		So(times.Mean(), ShouldAlmostEqual, 100*time.Millisecond, time.Millisecond)
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -87,19 +87,19 @@
 }
 
 // aheadOfPlace returns the number of waiting requests of other organisations that go before
-// a request with that many of its own organisation running or before it. Of those with as
-// many, the organisations count for which precedes is true.
-func (s *shares) aheadOfPlace(r *Request, place int, precedes func(organisation string) bool) int {
+// a request with place requests of its own organisation running or before it: all that an
+// organisation may start before it has as many running by its weight, and of those that it
+// starts with as many running the ones that precede the request in the queue's order.
+func (s *shares) aheadOfPlace(r *Request, place int, preceding map[string]int) int {
 	ahead, round := 0, place/s.weight(r.Organisation)
 	for key, held := range s.byKey {
 		if key.class != r.Class || key.organisation == r.Organisation || held.waiting == 0 {
 			continue
 		}
-		level := round
-		if precedes(key.organisation) {
-			level++
-		}
-		ahead += min(max(level*s.weight(key.organisation)-held.running, 0), held.waiting)
+		weight := s.weight(key.organisation)
+		fewer := max(round*weight-held.running, 0)
+		asMany := max((round+1)*weight-max(held.running, round*weight), 0)
+		ahead += min(fewer+min(asMany, preceding[key.organisation]), held.waiting)
 	}
 	return ahead
 }
--- a/internal/admission/slowdown_test.go
+++ b/internal/admission/slowdown_test.go
@@ -58,6 +58,7 @@
 	queue := func(s Slowdown) *Queue {
 		q := &Queue{}
 		q.SetLimits(2, 10)
+		q.SetMeanHoldTime(400 * time.Millisecond)
 		q.SetSlowdown(s)
 		return q
 	}
@@ -80,9 +81,19 @@
 			verdict, _, _ := q.Admit(start, request(low, 300*time.Millisecond, time.Second, 2*time.Second))
 			So(verdict, ShouldEqual, Queued)
 		}
-		short := request(low, 30*time.Millisecond, time.Second, 2*time.Second)
-		So(q.Estimate(start, short).Refused, ShouldBeFalse)
-		verdict, _, _ := q.Admit(start, short)
+		short := request(low, 30*time.Millisecond, time.Second, 450*time.Millisecond)
+		estimate := q.Estimate(start, short)
+		So(estimate.Refused, ShouldBeFalse)
+		So(estimate.Wait, ShouldEqual, 0)
+		So(estimate.ServiceTime, ShouldEqual, 120*time.Millisecond)
+		for range 2 {
+			verdict, _, _ := q.Admit(start, short)
+			So(verdict, ShouldEqual, Granted)
+		}
+		So(q.Estimate(start, short).Wait, ShouldEqual, 200*time.Millisecond)
+	})
+	Convey("A request of a route without a recent sample starts, so that its estimate is measured", t, func() {
+		verdict, _, _ := queue(slow).Admit(start, request(low, 300*time.Millisecond, time.Second, 450*time.Millisecond))
 		So(verdict, ShouldEqual, Granted)
 	})
 	Convey("A request that would miss its deadline by waiting starts at once if it can be answered at the low speed", t, func() {
@@ -93,6 +104,7 @@
 	Convey("One that can be answered neither at the low speed nor after the slowdown is refused at once", t, func() {
 		q := queue(slow)
 		late := request(low, 300*time.Millisecond, time.Second, 450*time.Millisecond)
+		late.IsMeasured = true
 		So(q.Estimate(start, late).Refused, ShouldBeTrue)
 		verdict, _, _ := q.Admit(start, late)
 		So(verdict, ShouldEqual, Refused)
@@ -102,14 +114,29 @@
 		for range 2 {
 			q.Admit(start, request(low, 300*time.Millisecond, time.Second, 2*time.Second))
 		}
-		verdict, late, _ := q.Admit(start, request(low, 300*time.Millisecond, time.Second, 450*time.Millisecond))
+		r := request(low, 300*time.Millisecond, time.Second, 650*time.Millisecond)
+		r.IsMeasured = true
+		verdict, late, _ := q.Admit(start, r)
 		So(verdict, ShouldEqual, Queued)
 		So(q.RemoveExpired(start), ShouldBeEmpty)
-		q.SetSlowdown(slow)
+		q.SetSlowdown(Slowdown{Factor: 4, Remaining: 400 * time.Millisecond})
 		So(q.RemoveExpired(start), ShouldResemble, []*Ticket{late})
 	})
 }
 
+// Guards against a route whose requests are all given up because of an estimate that no
+// request corrects any more.
+func TestMeasuredRecently(t *testing.T) {
+	Convey("A route counts as measured until its latest sample is too old", t, func() {
+		times := &ServiceTimes{}
+		So(times.IsMeasuredRecently(start, "a"), ShouldBeFalse)
+		times.Add(start, "a", time.Second, 1)
+		So(times.IsMeasuredRecently(start.Add(maxSampleAge), "a"), ShouldBeTrue)
+		So(times.IsMeasuredRecently(start.Add(maxSampleAge+1), "a"), ShouldBeFalse)
+		So(times.IsMeasuredRecently(start, "b"), ShouldBeFalse)
+	})
+}
+
 // sharedMachine models a server on a machine shared with other workloads: requests
 // that start during a slowdown take several times as long.
 type sharedMachine struct {
@@ -161,7 +188,7 @@
 		return
 	}
 	s.arrivals++
-	r := Request{Class: low, ServiceTime: sharedServiceTime, Target: s.now.Add(sharedTarget), Deadline: s.now.Add(s.deadline)}
+	r := Request{Class: low, ServiceTime: sharedServiceTime, IsMeasured: true, Target: s.now.Add(sharedTarget), Deadline: s.now.Add(s.deadline)}
 	if verdict, _, _ := s.queue.Admit(s.now, r); verdict == Granted {
 		s.startRequest(&r)
 	}
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -291,6 +291,7 @@
 		Target:       s.target,
 		Deadline:     s.deadline,
 		ServiceTime:  l.serviceTimes.Estimate(s.route),
+		IsMeasured:   l.serviceTimes.IsMeasuredRecently(time.Now(), s.route),
 		Fingerprint:  s.fingerprint,
 	}
 	if request.Target.IsZero() {
@@ -356,7 +357,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if result.completed {
-		l.serviceTimes.Add(result.route, result.holdTime, result.slowdownFactor)
+		l.serviceTimes.Add(time.Now(), result.route, result.holdTime, result.slowdownFactor)
 	}
 	sample := 0.0
 	if result.failed {
@@ -373,7 +374,9 @@
 	now := time.Now()
 	l.queue.SetSlowdown(l.slowdowns.Now(now))
 	for _, t := range l.queue.RemoveExpired(now) {
-		l.countColdRefusalLocked(now)
+		if now.After(t.LatestStart()) {
+			l.countColdRefusalLocked(now)
+		}
 		l.resolveLocked(t, expiredKind(t.Deadline))
 	}
 	for t := l.queue.Next(now); t != nil; t = l.queue.Next(now) {
--- a/internal/gate/limiter_test.go
+++ b/internal/gate/limiter_test.go
@@ -104,7 +104,7 @@
 			var kind errkind.Kind
 			var elapsed time.Duration
 			run("estimate", func(ctx context.Context, l *limiter) {
-				l.serviceTimes.Add("", time.Second, 0)
+				l.serviceTimes.Add(time.Now(), "", time.Second, 0)
 				startedAt := time.Now()
 				_, kind = l.acquire(ctx, slotRequest{class: normal, deadline: startedAt.Add(100 * time.Millisecond)})
 				elapsed = time.Since(startedAt)
--- a/internal/gate/slowdown_test.go
+++ b/internal/gate/slowdown_test.go
@@ -48,7 +48,7 @@
 	g := New(Options{Instance: "i", Incarnation: 1, ClientOptions: wire.ClientOptions{Headers: headers}})
 	g.SetHealthPath("/health")
 	g.SetServer(&Server{Service: "s", Address: backend.Listener.Addr().String(), Slots: 4, Connections: 10})
-	g.limiter.serviceTimes.Add("", 500*time.Millisecond, 1)
+	g.limiter.serviceTimes.Add(time.Now(), "", 500*time.Millisecond, 1)
 	g.limiter.recordSlowness(400)
 	time.Sleep(pastSlowdown)
 	g.limiter.recordSlowness(100)
@@ -93,7 +93,7 @@
 			time.Sleep(2 * maxReportAgeForOffer)
 			question := &pb.OfferQuestion{Service: "s", Route: "other", TargetUs: 1_000_000, DeadlineUs: 60_000_000}
 			So(g.Offer(context.Background(), question).GetWorkUs(), ShouldEqual, 0)
-			g.limiter.serviceTimes.Add("other", 20*time.Millisecond, 1)
+			g.limiter.serviceTimes.Add(time.Now(), "other", 20*time.Millisecond, 1)
 			So(g.Offer(context.Background(), question).GetWorkUs(), ShouldEqual, 20_000)
 		})
 		Convey("a server that doesn't answer a probe in time isn't probed for a while", func() {
@@ -118,7 +118,7 @@
 		g.SetStopping(time.Now().Add(10 * time.Second))
 		So(g.Do(context.Background(), newTestCall("/")).Status, ShouldEqual, http.StatusOK)
 		g.limiter.serviceTimes = admission.ServiceTimes{}
-		g.limiter.serviceTimes.Add("", 8*time.Second, 1)
+		g.limiter.serviceTimes.Add(time.Now(), "", 8*time.Second, 1)
 		refusal := g.Do(context.Background(), newTestCall("/"))
 		So(refusal.Kind, ShouldEqual, pb.ErrorKind_ERROR_KIND_DRAINING)
 		So(server.started.Load(), ShouldEqual, 1)
