quota: the bound holds when a side of a partition restarts

Cause: the members of a side of a partition that have all restarted don't know from each other that there is another side. The same held for a partition while a fleet starts again. The histories left both cases out.

Change: until 20 s after a node joined, or until its view has contained as many members, the cap is shared among at least the instances with a join record of the last hour. Join records carry the time of their append, because the platform's log doesn't; older builds ignore the field, and records without it count as recent. While the log couldn't be read and no member has run for 20 s longer than the node, the size counts as twice the members. The end of a start waits up to 1 s for the log, and a node that couldn't read it reads it again every 4 s in its first 20 s.

Not guaranteed: a partition within 2 s of the first start of a fleet, and more than two sides that all restart while the log is down (docs/design/usage-caps.md).

--- a/internal/member/addresses.go
+++ b/internal/member/addresses.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// recorded returns the instances whose join record was appended after a point in time, and
+// this node's own.
+func (c *knownAddresses) recorded(after time.Time, own string) []string {
+	instances := []string{own}
+	for instance, known := range c.byInstance {
+		if known.appendedAt.After(after) {
+			instances = append(instances, instance)
+		}
+	}
+	return instances
+}
+
 // unreachedAddresses returns the addresses to try: those of dead members, those
 // known from the member stream unless the instance has left, and the seeds. It
 // skips the addresses of this node and of reachable members. The caller holds mu.
--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -163,6 +163,41 @@
 	})
 }
 
+// TestJoinRecords guards against a node that takes a side of a partition for the whole
+// fleet, and against one that counts instances that were removed long ago.
+func TestJoinRecords(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.close()
+		Convey("Recent join records name the fleet as soon as the log could be read", t, func() {
+			c.startMany(3)
+			time.Sleep(2 * DefaultJoinSpread)
+			c.crash(c.nodes["a02:1"])
+			time.Sleep(recordedFor - 10*time.Minute)
+			c.crash(c.nodes["a01:1"])
+			c.log.setDown(true)
+			n := c.start("z", "z:1", "region0")
+			time.Sleep(time.Second)
+			_, read := n.list.JoinRecords()
+			So(read, ShouldBeFalse)
+			c.log.mu.Lock()
+			for i := range c.log.records {
+				c.log.records[i].Time = time.Now() // as of a log that doesn't keep the time
+			}
+			c.log.mu.Unlock()
+			c.log.setDown(false)
+			time.Sleep(2 * firstReadRetryInterval)
+			recorded, read := n.list.JoinRecords()
+			So(read, ShouldBeTrue)
+			So(recorded, ShouldHaveLength, 4)
+			time.Sleep(20 * time.Minute)
+			recorded, _ = n.list.JoinRecords()
+			So(recorded, ShouldHaveLength, 3)
+			So(recorded, ShouldNotContain, "a02")
+		})
+	})
+}
+
 func TestNamesake(t *testing.T) {
 	inCluster(t, 5, func(c *cluster, nodes []*node) {
 		Convey("Of two processes that run as one instance, the one started earlier is superseded", t, func() {
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -47,6 +47,10 @@
 	// log has been read, so that those of an earlier start are among them.
 	departures     []*pb.Departure
 	departuresRead bool
+	// recorded are the instances with a recent join record, and recordsRead reports whether
+	// the member stream has been read to its end.
+	recorded       []string
+	recordsRead    bool
 	flushScheduled bool
 	bulk           bulkDetector
 	// syncing reports whether syncUntilEqual runs or is scheduled.
--- a/internal/member/memberstream.go
+++ b/internal/member/memberstream.go
@@ -31,6 +31,14 @@
 	// logProbeInterval is the time without an answer from a member or the log after
 	// which the log is read early.
 	logProbeInterval = time.Second
+	// firstReadRetryInterval is the time until a node reads the stream again that couldn't
+	// read it since it started, for firstReadPeriod. Until then it doesn't know the size of
+	// the fleet from the log, and afterwards nothing depends on that.
+	firstReadRetryInterval = 4 * time.Second
+	firstReadPeriod        = 20 * time.Second
+	// recordedFor is the age up to which the join record of another instance is taken as a
+	// sign that it belongs to the fleet: two intervals between appends.
+	recordedFor = 2 * appendInterval
 	// logTimeout bounds one append, or one read to the end of the stream.
 	logTimeout = 2 * time.Second
 	// initialReadRecords is how many of the newest records are read at the start,
@@ -122,11 +130,16 @@
 	}
 	if err != nil {
 		l.stats.logFailed.Add(1)
+		if !l.departuresRead && now.Sub(l.health.startedAt) < firstReadPeriod {
+			f.nextRead = now.Add(l.jitter(firstReadRetryInterval))
+		}
 		return
 	}
 	l.health.lastLog = now
 	l.departuresRead = true
 	l.knownAddresses.expire(now)
+	l.recorded = l.knownAddresses.recorded(now.Add(-recordedFor), l.opts.Member.Instance)
+	l.recordsRead = true
 	if l.noReachableMember() {
 		for range min(joinFanout, len(l.unreachedAddresses())) {
 			l.goLocked(l.joinRound)
@@ -137,6 +150,15 @@
 	}
 }
 
+// JoinRecords returns the instances that had a recent join record in the log when it was
+// last read, including this one, and reports whether it has been read. The caller must not
+// modify them. Without a log there are none.
+func (l *List) JoinRecords() (instances []string, read bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.recorded, l.recordsRead || l.opts.Log == nil
+}
+
 // isOnlyNode reports whether, as far as this node can tell, no other node is
 // running: no member is believed reachable, and there is no other address to try
 // or, after firstNodeWait, all were tried. It is called when the log has answered.
@@ -222,7 +244,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if m.Instance != l.opts.Member.Instance {
-		l.knownAddresses.add(m, record.Time)
+		appendedAt := record.Time
+		if ms := join.GetAppendedUnixMs(); ms != 0 {
+			appendedAt = time.UnixMilli(ms)
+		}
+		l.knownAddresses.add(m, appendedAt)
 		return
 	}
 	if m.Incarnation > l.own().Member.Incarnation {
@@ -300,7 +326,7 @@
 
 // appendJoin appends a join record.
 func (l *List) appendJoin(ctx context.Context, own *pb.Member, departures []*pb.Departure) error {
-	data, err := proto.Marshal(&pb.JoinRecord{Member: own, Departures: departures})
+	data, err := proto.Marshal(&pb.JoinRecord{Member: own, Departures: departures, AppendedUnixMs: time.Now().UnixMilli()})
 	if err != nil {
 		return err
 	}
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -49,6 +49,8 @@
 	}
 	result := cache.last
 	result.Joined = n.members.Joined()
+	recorded, read := n.members.JoinRecords()
+	result.Recorded, result.LogUnread = recorded, !read
 	switch health.Reason {
 	case member.ReasonIsolated, member.ReasonPaused, member.ReasonSuperseded:
 		result.Isolated = true
--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -29,6 +29,12 @@
 	// youngTime is how long requests wait instead of being refused after the start of a
 	// whole fleet: the requests that have waited until then are served within it.
 	youngTime = 2 * time.Second
+	// recordsWait is how long the end of a start waits for the join records. A log that
+	// can be reached returns them sooner; afterwards the smaller share is granted.
+	recordsWait = time.Second
+	// unknownSides is the number of sides of a partition that is assumed while the size of
+	// the fleet is unknown.
+	unknownSides = 2
 	// knownFor is how long a member that died without leaving counts as known: a
 	// partition is expected to heal within it.
 	knownFor = 20 * time.Second
@@ -75,6 +81,11 @@
 	// Isolated reports that neither members nor the log have answered for some time, so
 	// that the states of the members are outdated.
 	Isolated bool
+	// Recorded are the instances with a recent join record in the log. Members of the other
+	// side of a partition may be known from there only. LogUnread reports that the log
+	// hasn't been read since this node started.
+	Recorded  []string
+	LogUnread bool
 }
 
 // knownMember is a member that counts as a part of the fleet.
@@ -122,6 +133,13 @@
 	// growth are the times at which members were seen for the first time, until the
 	// start is over.
 	growth []time.Time
+	// expected is the number of members by the join records, and sizeKnown reports whether
+	// these or a member that ran long before this node have told the size of the fleet.
+	expected  int
+	sizeKnown bool
+	// complete reports that expected and sizeKnown have no effect any more: the view has
+	// contained as many members, or the node has been a member for knownFor.
+	complete bool
 	// settled reports whether the start is over.
 	settled bool
 	// startCredit is the time before the end of the start of a whole fleet for which
@@ -142,7 +160,7 @@
 	// share is the share of every cap that this node may grant as an owner, and accrued
 	// its integral over time in seconds up to checkedAt.
 	share, accrued float64
-	// nodes is the number of known nodes.
+	// nodes is the number of nodes that the cap is shared among.
 	nodes int
 	// regions are the regions with a live member, this node's first.
 	regions []string
@@ -189,6 +207,7 @@
 		f.joined, f.joinedAt = true, now
 	}
 	f.note(now, view)
+	f.noteRecords(now, view)
 	f.place(now, view)
 	f.Tick(now)
 }
@@ -223,10 +242,46 @@
 	}
 }
 
-// expire stops counting members that have been dead for longer than knownFor. It
-// reports whether there were any.
+// noteRecords updates what the join records and members that have run for long tell about
+// the size of the fleet. The members of a side of a partition that have all restarted don't
+// know of the other side from each other.
+func (f *Fleet) noteRecords(now time.Time, view View) {
+	if f.complete || now.Sub(f.joinedAt) > knownFor {
+		f.complete = true
+		return
+	}
+	hasLeft := map[string]bool{}
+	f.sizeKnown = f.sizeKnown || !view.LogUnread
+	for _, m := range view.Members {
+		hasLeft[m.Instance] = m.State == Left
+		f.sizeKnown = f.sizeKnown || m.State != Dead && m.State != Left && f.self.Started.Sub(m.Started) > knownFor
+	}
+	f.expected = 0
+	for _, instance := range view.Recorded {
+		if !hasLeft[instance] {
+			f.expected++
+		}
+	}
+	f.complete = !view.LogUnread && f.count() >= f.expected
+}
+
+// size returns the number of members that the cap is shared among.
+func (f *Fleet) size() int {
+	switch count := f.count(); {
+	case f.complete:
+		return count
+	case !f.sizeKnown:
+		return unknownSides * count
+	default:
+		return max(count, f.expected)
+	}
+}
+
+// expire stops counting members that have been dead for longer than knownFor, and those
+// known from join records only that long after this node has joined. It reports whether
+// there were any.
 func (f *Fleet) expire(now time.Time) bool {
-	changed := false
+	changed := !f.complete && now.Sub(f.joinedAt) > knownFor
 	for _, k := range f.known {
 		if !k.expired && (k.State == Dead || !k.listed) && now.Sub(k.lastAlive) > knownFor {
 			k.expired, changed = true, true
@@ -270,14 +325,14 @@
 func (f *Fleet) place(now time.Time, view View) {
 	eligible, aliveHere := f.reachable(view)
 	share := 0.0
-	count := f.count()
-	if count > 0 {
-		share = float64(aliveHere) / float64(count)
+	size := f.size()
+	if size > 0 {
+		share = float64(aliveHere) / float64(size)
 	}
 	if n := len(f.history); n == 0 || f.history[n-1].share != share {
 		f.history = append(f.history, shareAt{now, share})
 	}
-	f.placement.nodes = count
+	f.placement.nodes = size
 	byRegion := map[string][]*knownMember{}
 	for _, k := range eligible {
 		byRegion[k.Region] = append(byRegion[k.Region], k)
@@ -398,6 +453,9 @@
 	if together {
 		wait = startDelay
 	}
+	if !f.complete && !f.sizeKnown {
+		wait = max(wait, recordsWait)
+	}
 	recent := 0
 	for i := len(f.growth) - 1; i >= 0 && now.Sub(f.growth[i]) < wait; i-- {
 		recent++
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,6 +65,62 @@
 		So(f.Placement().Owned(), ShouldBeBetween, 4, 25)
 		So(f.Placement().share, ShouldEqual, 1)
 	})
+	// Guards against a side of a partition that grants the whole cap because all of its
+	// nodes have restarted, and against a share that stays small without a partition.
+	Convey("The share of a node that starts counts the members by the join records", t, func() {
+		view := View{Joined: true}
+		for i := range 4 {
+			instance := fmt.Sprint("node-", i)
+			view.Recorded = append(view.Recorded, instance)
+			view.Members = append(view.Members, Member{Instance: instance, Region: "north", Address: instance, Started: simEpoch})
+		}
+		// start returns the Fleet of node 0 after it has seen a view for 1.5 s, and the time.
+		start := func(view View) (*Fleet, time.Time) {
+			f := NewFleet(view.Members[0], 8)
+			f.Update(simEpoch, view)
+			return f, tickUntil(f, simEpoch, simEpoch.Add(1500*time.Millisecond))
+		}
+		f, _ := start(view)
+		So(f.Placement().share, ShouldEqual, 1)
+
+		side := view
+		side.Members = view.Members[:1]
+		f, now := start(side)
+		So(f.Placement().share, ShouldEqual, 0.25)
+		So(f.Placement().Owned(), ShouldEqual, 8)
+		f.Update(now, view)
+		f.Update(now, side) // the others were there once
+		tickUntil(f, now, now.Add(gainDelay))
+		So(f.size(), ShouldEqual, 4)
+		f, now = start(side)
+		tickUntil(f, now, now.Add(knownFor-2*time.Second))
+		So(f.size(), ShouldEqual, 4)
+		So(f.Tick(simEpoch.Add(knownFor+1)), ShouldBeTrue)
+		f.Update(simEpoch.Add(knownFor+1), side)
+		So(f.size(), ShouldEqual, 1)
+
+		side.Members = slices.Clone(view.Members)
+		side.Members[3].State = Left
+		f, _ = start(side)
+		So(f.Placement().share, ShouldEqual, 1)
+	})
+	Convey("Without the log, a node takes the size of the fleet from a member that has run for long", t, func() {
+		view := View{Joined: true, LogUnread: true, Members: []Member{
+			{Instance: "node-0", Region: "north", Address: "address-0", Started: simEpoch},
+			{Instance: "node-1", Region: "north", Address: "address-1", Started: simEpoch},
+		}}
+		f := NewFleet(view.Members[0], 8)
+		f.Update(simEpoch, view)
+		now := tickUntil(f, simEpoch, simEpoch.Add(recordsWait-tickInterval))
+		So(f.Placement().Owned(), ShouldEqual, 0) // the log may still answer
+		now = tickUntil(f, now, now.Add(2*tickInterval))
+		So(f.Placement().share, ShouldEqual, 0.5)
+		So(f.Placement().Owned(), ShouldBeGreaterThan, 0)
+		view.Members[1].Started = simEpoch.Add(-time.Hour)
+		f.Update(now, view)
+		tickUntil(f, now, now.Add(gainDelay))
+		So(f.Placement().share, ShouldEqual, 1)
+	})
 	// Guards against a cap that is lower for long after a planned stop.
 	Convey("A member that leaves doesn't lower the cap, one that dies does for 20 s", t, func() {
 		f, view, now := runningFleet(4)
--- a/internal/quota/histories_test.go
+++ b/internal/quota/histories_test.go
@@ -22,7 +22,11 @@
 		loss:        []float64{0, 0.02, 0.2}[r.IntN(3)],
 		otherRegion: 20 * time.Millisecond,
 		settled:     r.IntN(8) != 0,
+		firstStart:  r.IntN(4) == 0,
+		logDown:     r.IntN(4) == 0,
 	}
+	// The log has the join records of a fleet that has run.
+	options.firstStart = options.firstStart && !options.settled
 	options.cap.Burst = options.cap.RatePerS * float64(r.IntN(3))
 	s := newSim(seed, options)
 	if !options.settled {
@@ -42,10 +46,10 @@
 	for i := range 1 + r.IntN(2) {
 		kind := first
 		if i > 0 {
-			kind = secondFault(r, first)
+			kind = secondFault(r, first, options)
 		}
 		at := s.between(200*time.Millisecond, 3*time.Second)
-		if kind >= partitionKinds && !options.settled {
+		if kind >= partitionKinds && (options.firstStart || !options.settled && options.logDown && options.regions > 2) {
 			at += startTime
 		}
 		text += fmt.Sprintf(" [%d at %s]", kind, at)
@@ -57,19 +61,20 @@
 
 // faultKinds is the number of kinds of faults: partitions from partitionKinds on.
 const (
-	faultKinds     = 7
+	faultKinds     = 8
 	partitionKinds = 4
 )
 
-// startTime is the time in which the nodes of a starting fleet get to know each other. A
-// partition within it has the same effect as one with a loss of power.
+// startTime is the time in which the nodes of a starting fleet get to know each other.
+// Nothing tells them the size of the fleet at its first start, nor while the log is down.
 const startTime = 2 * time.Second
 
-// secondFault returns a kind of fault that may come with the first. A side of a
-// partition whose nodes all restart doesn't know that there was another side, so that
-// the bound doesn't hold for a partition with a loss of power (kinds 0 and 1).
-func secondFault(r *rand.Rand, first int) int {
+// secondFault returns a kind of fault that may come with the first. While the log is down,
+// a side of a partition whose nodes all restart assumes that there are two sides, so that
+// the bound doesn't hold for three with a loss of power (kinds 0 and 1).
+func secondFault(r *rand.Rand, first int, options simOptions) int {
 	switch {
+	case !options.firstStart && (!options.logDown || options.regions < 3):
 	case first < 2:
 		return r.IntN(partitionKinds)
 	case first >= partitionKinds:
@@ -89,6 +94,15 @@
 		})
 	}
 	switch kind {
+	case 7: // regions or a third are cut off, and all nodes of one side restart
+		s.randomFault(5 + r.IntN(2))
+		side := s.nodes[r.IntN(len(s.nodes))].group
+		for _, n := range s.nodes {
+			if n.group == side {
+				s.kill(n)
+				restart(n, s.between(300*time.Millisecond, 1500*time.Millisecond))
+			}
+		}
 	case 4: // a node is cut off from all others
 		alone := r.IntN(len(s.nodes))
 		s.partition(func(i int) int { return b2i(i == alone) }, s.between(time.Second, 12*time.Second))
@@ -179,7 +193,7 @@
 // deployment A and demand of 3.75 times the cap, in the faults that its platform makes,
 // and against refusals by the thousand after a fault has ended.
 func TestLargeHistories(t *testing.T) {
-	for kind, name := range []string{"power lost", "half killed", "one restarted", "nodes frozen", "one cut off", "a third cut off", "regions cut off"} {
+	for kind, name := range []string{"power lost", "half killed", "one restarted", "nodes frozen", "one cut off", "a third cut off", "regions cut off", "side restarted"} {
 		for seed := range simSeeds(3) {
 			for _, rate := range []float64{239, 1} {
 				s := newSim(seed, fleet60(Cap{rate, rate}, true))
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -253,7 +253,8 @@
 }
 
 func sameView(a, b View) bool {
-	return a.Version == b.Version && a.Joined == b.Joined && a.Isolated == b.Isolated
+	return a.Version == b.Version && a.Joined == b.Joined && a.Isolated == b.Isolated &&
+		a.LogUnread == b.LogUnread && len(a.Recorded) == len(b.Recorded)
 }
 
 // logFleet logs a change of what this node grants. The caller holds mu.
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -79,6 +79,9 @@
 	otherRegion time.Duration
 	// settled starts the fleet with complete views and active parts.
 	settled bool
+	// firstStart reports that the log has no join records of an earlier run of the fleet,
+	// and logDown that no node can read it.
+	firstStart, logDown bool
 }
 
 // sim is a fleet under virtual time with one organisation. Its network and its views
@@ -96,6 +99,8 @@
 	spent                       []time.Duration
 	refused, starting, demanded int
 	messages                    int
+	// recorded are the nodes with a join record in the log.
+	recorded []string
 }
 
 // simNode is a node of the fleet.
@@ -109,10 +114,16 @@
 	epoch     int // increases with every start
 	startedAt time.Duration
 	joinedAt  time.Duration
-	fleet     *Fleet
-	holder    holder
-	number    uint64
-	waiter    uint64
+	// aloneSince is the first of successive starts without a reachable node; negative:
+	// none.
+	aloneSince time.Duration
+	// recorded are the nodes with a join record when this node read the log.
+	recorded []string
+	logRead  bool
+	fleet    *Fleet
+	holder   holder
+	number   uint64
+	waiter   uint64
 	// since are the times from which requests have waited for the start of the fleet.
 	since map[uint64]time.Duration
 	// seen are the states of the other nodes in this node's view; -1: unknown.
@@ -138,7 +149,11 @@
 			Region:   fmt.Sprint("region-", i%options.regions),
 			Address:  fmt.Sprint("address-", i),
 		}
+		n.aloneSince = -1
 		s.nodes = append(s.nodes, n)
+		if !options.firstStart {
+			s.recorded = append(s.recorded, n.member.Instance)
+		}
 	}
 	if !options.settled {
 		return s
@@ -215,6 +230,7 @@
 	n.holder = holder{organisation: "o", cap: s.options.cap, limits: s.limits, numbers: func() uint64 { n.number++; return n.number }}
 	n.changed = true
 	n.deferred = nil
+	n.recorded, n.logRead = nil, false
 	n.since = map[uint64]time.Duration{}
 	epoch := n.epoch
 	var tick func()
@@ -228,11 +244,22 @@
 		s.after(simTick, tick)
 	}
 	s.after(s.between(0, simTick), tick)
+	s.after(s.between(10*time.Millisecond, 100*time.Millisecond), func() {
+		if n.up && n.epoch == epoch && !s.options.logDown {
+			n.recorded, n.logRead, n.changed = slices.Clone(s.recorded), true, true
+		}
+	})
+	s.after(s.between(0, 2*time.Second), func() {
+		if n.up && n.epoch == epoch && !s.options.logDown && !slices.Contains(s.recorded, n.member.Instance) {
+			s.recorded = append(s.recorded, n.member.Instance)
+		}
+	})
 }
 
 func (n *simNode) view() View {
 	s := n.sim
-	v := View{Joined: s.now >= n.joinedAt, Isolated: n.isolatedSince >= 0 && s.now-n.isolatedSince > 3*time.Second}
+	v := View{Joined: s.now >= n.joinedAt, Isolated: n.isolatedSince >= 0 && s.now-n.isolatedSince > 3*time.Second,
+		Recorded: n.recorded, LogUnread: !n.logRead}
 	for j, state := range n.seen {
 		if state != unknownState {
 			m := s.nodes[j].member
@@ -375,9 +402,17 @@
 				n.joinedAt = s.now
 			}
 		}
-		if n.joinedAt > s.now { // a node that reaches nobody doesn't join
-			s.start(n)
-			return
+		if n.joinedAt <= s.now {
+			n.aloneSince = -1
+		} else { // a node that reaches nobody joins alone after some time, if the log can be read
+			if n.aloneSince < 0 {
+				n.aloneSince = s.now
+			}
+			if s.options.logDown || s.now-n.aloneSince < 3*time.Second {
+				s.start(n)
+				return
+			}
+			n.joinedAt, n.aloneSince = s.now, -1
 		}
 		n.whenRunning(n.update)
 	})
