quota: a restarted side waits while recorded members are missing

Change: while the view has fewer members than there are recent join records, a node waits 3 s before it grants, as after every other gain. The simulated nodes of a running fleet have read the log.

A fleet that starts as a whole without an instance of the last hour now starts to grant after 3 s.

--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -450,7 +450,10 @@
 	wait := gainDelay
 	together := f.startsTogether()
 	f.placement.starting = together
-	if together {
+	// Members known from the log only may be running and granting, until they find this
+	// side dead or themselves isolated.
+	isMissing := !f.complete && f.count() < f.expected
+	if together && !isMissing {
 		wait = startDelay
 	}
 	if !f.complete && !f.sizeKnown {
@@ -464,7 +467,7 @@
 		return
 	}
 	f.growth = nil
-	if together {
+	if together && !isMissing {
 		f.startCredit = min(now.Sub(f.joinedAt), maxStartWait)
 		f.placement.youngUntil = now.Add(youngTime)
 	}
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -86,6 +86,8 @@
 		side := view
 		side.Members = view.Members[:1]
 		f, now := start(side)
+		So(f.Placement().Owned(), ShouldEqual, 0) // the others may still grant
+		now = tickUntil(f, now, simEpoch.Add(gainDelay+tickInterval))
 		So(f.Placement().share, ShouldEqual, 0.25)
 		So(f.Placement().Owned(), ShouldEqual, 8)
 		f.Update(now, view)
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -170,6 +170,7 @@
 			n.seen[j], n.seenAt[j] = Alive, simEpoch
 		}
 		n.joinedAt = s.now
+		n.recorded, n.logRead = s.recorded, true
 	}
 	for _, n := range s.nodes {
 		n.update()
