quota: refusals beyond a cap cost fewer messages, returns are spread

Cause: a node remembered an empty part for at most 500 ms and then asked with every request until it was refused again, so nodes asked several times for each token. The Retry-After times of a node assumed that every node refuses as much as it does: where one node got all requests, nearly all callers were told to come back after 5 s.

Change: a request for tokens tells how many requests the node has refused since it last asked, and the reply the rate for the whole fleet. While a part is empty, for up to 2 s, a node asks for its share of the part's rate times 1.5; the reply that takes the last token says that the part is empty. Retry-After times continue the owner's schedule at the node's share of the whole rate. Requests beyond the tokens asked for of an empty part don't wait for the reply. Nodes of older builds ignore the new fields; without them a node remembers an empty part for up to 500 ms as before.

Tests: TestServesTheCap counts 1,200 tokens where it counted 120. Its bounds are unchanged.

--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -84,6 +84,27 @@
 	}
 }
 
+// BenchmarkRefused measures a request beyond the cap while the parts are known to be empty,
+// and the messages for it.
+func BenchmarkRefused(b *testing.B) {
+	var m *Manager
+	messages := 0
+	m = largeManager(func(_ string, number uint64, request *pb.QuotaRequest) bool {
+		messages++
+		m.HandleGrant(number, &pb.QuotaGrant{RetryAfterUs: 2e6, Owner: true, RefusedPerS: 1e5})
+		return true
+	})
+	m.SetCaps([]*pb.Organisation{{Name: "o", RatePerS: 1, Burst: 1}})
+	p := *m.placement.Load()
+	p.starting = false
+	m.placement.Store(&p)
+	ctx, deadline := context.Background(), time.Now().Add(time.Hour)
+	for b.Loop() {
+		m.Begin("o").Wait(ctx, deadline)
+	}
+	b.ReportMetric(float64(messages)/float64(b.N), "messages/op")
+}
+
 // BenchmarkNoCap measures a request of an organisation without a cap.
 func BenchmarkNoCap(b *testing.B) {
 	m := largeManager(nil)
--- a/internal/quota/calm_test.go
+++ b/internal/quota/calm_test.go
@@ -52,8 +52,9 @@
 			s.demand(1.5*rate, pattern(s))
 			s.runFor(10 * time.Second) // spends the burst
 			before, messages, demanded := len(s.spent), s.messages, s.demanded
-			const span = 60
-			s.runFor(span * time.Second)
+			// Over fewer tokens, the levels of the parts at both ends of the span decide.
+			span := max(60, 1200/rate)
+			s.runFor(time.Duration(span) * time.Second)
 			served := float64(len(s.spent)-before) / (rate * span)
 			t.Logf("rate %g, %s: %.3f of the cap served, %.2f messages a request", rate, name, served, float64(s.messages-messages)/float64(s.demanded-demanded))
 			if served < 0.97 || served > 1.03 {
--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -160,6 +160,8 @@
 	// share is the share of every cap that this node may grant as an owner, and accrued
 	// its integral over time in seconds up to checkedAt.
 	share, accrued float64
+	// total is the share that the owners of all regions may grant together.
+	total float64
 	// nodes is the number of nodes that the cap is shared among.
 	nodes int
 	// regions are the regions with a live member, this node's first.
@@ -301,9 +303,9 @@
 	return count
 }
 
-// reachable returns the members that may own parts and the number of those of this
-// node's region that are alive.
-func (f *Fleet) reachable(view View) (eligible []*knownMember, aliveHere int) {
+// reachable returns the members that may own parts, and the numbers of those that are alive
+// in this node's region and in all.
+func (f *Fleet) reachable(view View) (eligible []*knownMember, aliveHere, alive int) {
 	self := false
 	for _, k := range f.known {
 		own := k.Instance == f.self.Instance
@@ -311,23 +313,32 @@
 		if own || !view.Isolated && k.listed && (k.State == Alive || k.State == Suspect) {
 			eligible = append(eligible, k)
 		}
-		if k.Region == f.self.Region && (own || !view.Isolated && k.listed && k.State == Alive) {
-			aliveHere++
+		if own || !view.Isolated && k.listed && k.State == Alive {
+			alive++
+			aliveHere += b2i(k.Region == f.self.Region)
 		}
 	}
 	if !self { // the view reports this node as having left
-		return nil, 0
+		return nil, 0, 0
 	}
-	return eligible, aliveHere
+	return eligible, aliveHere, alive
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // place computes the share and the owners of all slots.
 func (f *Fleet) place(now time.Time, view View) {
-	eligible, aliveHere := f.reachable(view)
+	eligible, aliveHere, alive := f.reachable(view)
 	share := 0.0
 	size := f.size()
 	if size > 0 {
 		share = float64(aliveHere) / float64(size)
+		f.placement.total = float64(alive) / float64(size)
 	}
 	if n := len(f.history); n == 0 || f.history[n-1].share != share {
 		f.history = append(f.history, shareAt{now, share})
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -200,21 +200,21 @@
 	Convey("A repeated request gets the same grant once", t, func() {
 		var b bucket
 		id := requestID{"a", 1}
-		So(b.grant(now, p, 0, limit, limits, id, 5).tokens, ShouldEqual, 5)
-		So(b.grant(now, p, 0, limit, limits, id, 5).tokens, ShouldEqual, 5)
+		So(b.grant(now, p, 0, limit, limits, id, 5, 0).tokens, ShouldEqual, 5)
+		So(b.grant(now, p, 0, limit, limits, id, 5, 0).tokens, ShouldEqual, 5)
 		So(b.level, ShouldAlmostEqual, 13)
-		So(b.grant(now, p, 0, limit, limits, requestID{"b", 1}, 50).tokens, ShouldEqual, 13)
-		So(b.grant(now.Add(repeatWindow+1), p, 0, limit, limits, id, 1).tokens, ShouldEqual, 1)
+		So(b.grant(now, p, 0, limit, limits, requestID{"b", 1}, 50, 0).tokens, ShouldEqual, 13)
+		So(b.grant(now.Add(repeatWindow+1), p, 0, limit, limits, id, 1, 0).tokens, ShouldEqual, 1)
 		So(len(b.repeats), ShouldEqual, 1)
 	})
 	// Guards against refused callers that all return at the same time.
 	Convey("Refused requests get times one interval apart", t, func() {
 		var b bucket
-		b.grant(now, p, 0, limit, limits, requestID{}, 100)
-		So(b.grant(now, p, 0, limit, limits, requestID{"a", 1}, 1).retryAfter, ShouldAlmostEqual, 200*time.Millisecond, time.Millisecond)
-		So(b.grant(now, p, 0, limit, limits, requestID{"a", 2}, 1).retryAfter, ShouldAlmostEqual, 300*time.Millisecond, time.Millisecond)
+		b.grant(now, p, 0, limit, limits, requestID{}, 100, 0)
+		So(b.grant(now, p, 0, limit, limits, requestID{"a", 1}, 1, 0).retryAfter, ShouldAlmostEqual, 200*time.Millisecond, time.Millisecond)
+		So(b.grant(now, p, 0, limit, limits, requestID{"a", 2}, 1, 0).retryAfter, ShouldAlmostEqual, 300*time.Millisecond, time.Millisecond)
 		for i := range 200 {
-			So(b.grant(now, p, 0, limit, limits, requestID{"a", uint64(i)}, 1).retryAfter, ShouldBeLessThanOrEqualTo, maxRetryAfter)
+			So(b.grant(now, p, 0, limit, limits, requestID{"a", uint64(i)}, 1, 0).retryAfter, ShouldBeLessThanOrEqualTo, maxRetryAfter)
 		}
 	})
 	Convey("The limits fit the bounds", t, func() {
--- a/internal/quota/histories_test.go
+++ b/internal/quota/histories_test.go
@@ -137,13 +137,6 @@
 	}
 }
 
-func b2i(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // historyCount is the number of random histories. scripts/test runs all of them without
 // the race detector, which makes them about ten times slower and finds nothing in code
 // of one goroutine; with it, a few show that they run.
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -20,11 +20,22 @@
 	// notOwnerTime is how long a node that says that it doesn't own a part is skipped:
 	// a few rounds of gossip, after which the views agree.
 	notOwnerTime = 200 * time.Millisecond
-	// minEmptyTime and maxEmptyTime bound how long an empty part isn't asked again. The
-	// maximum keeps the part in use when the demand falls; the minimum limits the
+	// minEmptyTime is the shortest time until an empty part is asked again. It limits the
 	// messages for refused requests to 20 a second and part.
 	minEmptyTime = 50 * time.Millisecond
-	maxEmptyTime = 500 * time.Millisecond
+	// maxEmptyTime is the longest time for which an empty part is asked at this node's share
+	// of the rate only, or not at all if the owner doesn't tell it. It keeps the part in use
+	// when the demand falls.
+	maxEmptyTime        = 2 * time.Second
+	maxEmptyTimeUnknown = 500 * time.Millisecond
+	// askFactor is how many tokens of an empty part all nodes together ask for, for each
+	// token that it gets. Above 1, the tokens are used up although requests come at random.
+	askFactor = 1.5
+	// shareJump is the growth of this node's share of the fleet's refusals beyond which its
+	// schedule of Retry-After times begins anew. The estimate varies by less at even demand.
+	shareJump = 6
+	// maxCredit is the largest number of tokens of an empty part that are asked for at once.
+	maxCredit = 8
 	// prefetchTime is the demand that is asked for ahead of need. It is half of the
 	// longest lifetime of a token, so that few tokens expire.
 	prefetchTime = 125 * time.Millisecond
@@ -52,6 +63,7 @@
 	organisation string
 	region       string
 	wanted       int
+	refused      int
 }
 
 // timer asks for a call of holder.timeout.
@@ -83,14 +95,27 @@
 	message
 	sentAt time.Time
 	resent bool
+	// onCredit reports that the part was thought to be empty, so that requests beyond the
+	// number of wanted tokens don't wait for the reply.
+	onCredit bool
 }
 
 // part is what a holder knows about the part of a region.
 type part struct {
 	region string
-	// emptyUntil is the time until which the part isn't asked because it was empty, and
-	// tokenAt when it expects a token for a refused request.
+	// emptyUntil is the time until which the part is asked for no more than this node's
+	// share of its rate, because it was empty, and tokenAt when a refused caller should come
+	// back by its owner.
 	emptyUntil, tokenAt time.Time
+	// creditPerS is that share in tokens a second, and credit those that may be asked for
+	// at creditAt.
+	creditPerS, credit float64
+	creditAt           time.Time
+	// refused are the requests refused since the part was asked, reported the rate of those
+	// that its owner was told of, and lastReported the number that it was told of last.
+	refused      int
+	reported     rateEstimate
+	lastReported int
 	// skipUntil is the time until which the part isn't asked because its owner didn't
 	// respond or is unknown.
 	skipUntil time.Time
@@ -128,7 +153,10 @@
 	lastEmpty time.Time
 	// nextSlot is the last Retry-After time that was given without a message.
 	nextSlot time.Time
-	counters counters
+	// refusedShare is the estimated share of this node in the requests that the fleet
+	// refuses; zero: no owner has refused a request yet.
+	refusedShare float64
+	counters     counters
 }
 
 // acquire asks for a token for a request. The result is among the effects of this call
@@ -136,7 +164,7 @@
 func (h *holder) acquire(now time.Time, p *Placement, waiter uint64, e *effects) {
 	h.countDemand(now)
 	h.waiters = append(h.waiters, waiter)
-	h.step(now, p, e)
+	h.stepNew(now, p, e)
 	h.askAhead(now, p, e)
 }
 
@@ -202,15 +230,22 @@
 
 // step gives tokens to waiting requests, asks owners for the others, and refuses those
 // for which no owner can be asked.
-func (h *holder) step(now time.Time, p *Placement, e *effects) {
+func (h *holder) step(now time.Time, p *Placement, e *effects) { h.ask(now, p, false, e) }
+
+// stepNew is step after a request has come. Only then are empty parts asked for this node's
+// share, so that no request waits for one reply after the other.
+func (h *holder) stepNew(now time.Time, p *Placement, e *effects) { h.ask(now, p, true, e) }
+
+// ask is step, which asks empty parts for this node's share if useCredit.
+func (h *holder) ask(now time.Time, p *Placement, useCredit bool, e *effects) {
 	h.syncParts(p)
 	h.serve(now, e)
 	missing := len(h.waiters)
-	asking := false
+	mayGrantMore := false
 	for i := range h.parts {
 		if a := h.parts[i].ask; a != nil {
 			missing -= a.wanted
-			asking = true
+			mayGrantMore = mayGrantMore || !a.onCredit
 		}
 	}
 	for i := range h.parts {
@@ -224,13 +259,19 @@
 			}
 			continue
 		}
-		if !pt.askable(now) {
+		onCredit := !pt.askable(now)
+		if onCredit && !(useCredit && pt.hasCredit(now)) {
 			continue
 		}
 		before := len(h.waiters)
 		wanted := missing + h.prefetch(now)
+		if onCredit {
+			// Tokens beyond what this node needs soon would expire.
+			wanted = max(wanted, min(int(pt.credit), int(h.demand*prefetchTime.Seconds())))
+		}
 		if h.askPart(now, p, i, wanted, e) {
-			asking = true
+			pt.ask.onCredit = onCredit
+			mayGrantMore = mayGrantMore || !onCredit
 			missing -= wanted
 			if i == 0 {
 				return
@@ -239,8 +280,8 @@
 		}
 		missing -= before - len(h.waiters)
 	}
-	if !asking {
-		h.refuse(now, p, e)
+	if !mayGrantMore && missing > 0 {
+		h.refuse(now, p, missing, e)
 	}
 }
 
@@ -249,6 +290,14 @@
 	return !now.Before(pt.emptyUntil) && !now.Before(pt.skipUntil)
 }
 
+// hasCredit reports whether a part that was empty may be asked because this node's share of
+// its rate amounts to a token.
+func (pt *part) hasCredit(now time.Time) bool {
+	pt.credit = min(pt.credit+pt.creditPerS*now.Sub(pt.creditAt).Seconds(), maxCredit)
+	pt.creditAt = now
+	return pt.credit >= 1 && !now.Before(pt.skipUntil)
+}
+
 // syncParts makes the parts those of the placement's regions. The timer of a request to
 // a region that is gone calls step.
 func (h *holder) syncParts(p *Placement) {
@@ -313,12 +362,13 @@
 	owner := p.owner(h.slot, i)
 	if owner == p.ownAddress {
 		wanted = min(wanted, len(h.waiters))
-		h.receive(now, p, pt, now, wanted, h.bucket.grant(now, p, h.slot, h.cap, h.limits, requestID{}, wanted))
+		refused := pt.report(now)
+		h.receive(now, p, pt, now, wanted, h.bucket.grant(now, p, h.slot, h.cap, h.limits, requestID{}, wanted, refused))
 		h.serve(now, e)
 		return false
 	}
 	pt.ask = &ask{
-		message: message{to: owner, number: h.numbers(), organisation: h.organisation, region: pt.region, wanted: wanted},
+		message: message{to: owner, number: h.numbers(), organisation: h.organisation, region: pt.region, wanted: wanted, refused: pt.report(now)},
 		sentAt:  now,
 	}
 	h.counters.asked++
@@ -358,13 +408,51 @@
 	switch {
 	case !g.owner:
 		pt.skipUntil = now.Add(notOwnerTime)
-	case g.tokens < wanted:
+	case g.tokens < wanted || g.retryAfter > 0:
 		h.lastEmpty = now
 		pt.tokenAt = now.Add(g.retryAfter)
-		pt.emptyUntil = now.Add(min(max(g.retryAfter, minEmptyTime), maxEmptyTime))
+		before := max(h.refusedShare, 1/float64(max(p.nodes, 1)))
+		share, upper := pt.refusedShare(now, p, g.refusedPerS)
+		if h.refusedShare = share; share > shareJump*before {
+			h.nextSlot = time.Time{} // the times were computed with a share that was far too small
+		}
+		longest := maxEmptyTimeUnknown
+		pt.creditPerS, pt.credit, pt.creditAt = 0, 0, now
+		if g.refusedPerS > 0 {
+			longest = maxEmptyTime
+			pt.creditPerS = askFactor * h.cap.RatePerS * p.total / float64(max(len(p.regions), 1)) * upper
+		}
+		pt.emptyUntil = now.Add(min(max(g.retryAfter, minEmptyTime), longest))
+	default:
+		pt.emptyUntil, pt.credit = time.Time{}, 0
 	}
 }
 
+// report returns the number of refused requests to tell the owner of.
+func (pt *part) report(now time.Time) int {
+	refused := pt.refused
+	pt.refused = 0
+	pt.reported.add(now, refused)
+	pt.lastReported = refused
+	return refused
+}
+
+// refusedShare estimates the share of this node in the requests that the fleet refuses, at
+// least that of an average node, and returns an upper bound with it. Of the other nodes'
+// latest requests the owner has been told half on average, so half of this node's latest
+// ones are left out; and a few requests say little, so they are given less weight.
+func (pt *part) refusedShare(now time.Time, p *Placement, fleetPerS float64) (share, upper float64) {
+	share = 1 / float64(max(p.nodes, 1))
+	upper = share
+	if fleetPerS > 0 {
+		known := pt.reported.at(now)
+		upper = min(max(share, known/fleetPerS), 1)
+		known -= float64(pt.lastReported) / refusedTime.Seconds() / 2
+		share = min(max(share, known/fleetPerS*known/(known+1)), 1)
+	}
+	return share, upper
+}
+
 // timeout is called after the time of a timer. It sends a request again once and then
 // gives it up.
 func (h *holder) timeout(now time.Time, p *Placement, number uint64, e *effects) {
@@ -409,36 +497,41 @@
 	}
 }
 
-// refuse refuses all waiting requests.
-func (h *holder) refuse(now time.Time, p *Placement, e *effects) {
-	if len(h.waiters) == 0 {
-		return
-	}
+// refuse refuses a number of waiting requests, those that came last.
+func (h *holder) refuse(now time.Time, p *Placement, count int, e *effects) {
+	kept := max(len(h.waiters)-count, 0)
 	starting := p.starting || len(p.regions) == 0 || now.Before(p.youngUntil)
 	next := now.Add(unknownRetryAfter)
 	known := false
 	for i := range h.parts {
 		pt := &h.parts[i]
 		starting = starting || pt.starting && !pt.askable(now)
-		if pt.tokenAt.After(now) && (!known || pt.tokenAt.Before(next)) {
+		// The latest time comes from the owner that knows most of the refused requests.
+		if pt.tokenAt.After(now) && (!known || pt.tokenAt.After(next)) {
 			next, known = pt.tokenAt, true
 		}
 	}
-	for _, waiter := range h.waiters {
+	for _, waiter := range h.waiters[kept:] {
 		next = h.slotAfter(now, next, p)
 		h.counters.refused++
+		for i := range h.parts {
+			h.parts[i].refused++
+		}
 		e.results = append(e.results, result{waiter: waiter, retryAfter: next.Sub(now), starting: starting})
 	}
-	h.waiters = h.waiters[:0]
+	h.waiters = h.waiters[:kept]
 }
 
 // slotAfter returns the Retry-After time of a request that is refused without a
 // message. Each one is later than the one before, by what the requests of this node get
 // of the rate.
 func (h *holder) slotAfter(now, next time.Time, p *Placement) time.Time {
-	if !h.nextSlot.Before(next) && h.cap.RatePerS > 0 {
-		interval := float64(time.Second) * float64(max(p.nodes, 1)) / h.cap.RatePerS
-		next = h.nextSlot.Add(time.Duration(min(interval, float64(maxEmptyTime))))
+	share := h.refusedShare
+	if share == 0 {
+		share = 1 / float64(max(p.nodes, 1))
+	}
+	if rate := h.cap.RatePerS * p.total * share; !h.nextSlot.Before(next) && rate > 0 {
+		next = h.nextSlot.Add(seconds(1 / rate))
 	}
 	if latest := now.Add(maxRetryAfter); next.After(latest) {
 		next = latest
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -328,7 +328,7 @@
 // send sends the messages of a step. The caller doesn't hold mu.
 func (s *shard) send(messages []message) {
 	for _, msg := range messages {
-		request := &pb.QuotaRequest{Organisation: msg.organisation, Region: msg.region, Wanted: uint32(msg.wanted)}
+		request := &pb.QuotaRequest{Organisation: msg.organisation, Region: msg.region, Wanted: uint32(msg.wanted), Refused: uint32(msg.refused)}
 		if !s.manager.options.Send(msg.to, msg.number, request) {
 			s.step(msg.number, (*holder).unsent)
 		}
@@ -370,22 +370,24 @@
 	defer s.mu.Unlock()
 	h := s.holder(request.GetOrganisation(), c, now)
 	wanted := int(min(request.GetWanted(), maxWanted))
-	g := h.bucket.grant(now, m.placement.Load(), h.slot, h.cap, h.limits, requestID{from, number}, wanted)
+	g := h.bucket.grant(now, m.placement.Load(), h.slot, h.cap, h.limits, requestID{from, number}, wanted, int(min(request.GetRefused(), maxReported)))
 	return &pb.QuotaGrant{
 		Tokens:       uint32(g.tokens),
 		RetryAfterUs: uint32(g.retryAfter.Microseconds()),
 		Owner:        g.owner,
 		Starting:     g.starting,
+		RefusedPerS:  float32(g.refusedPerS),
 	}
 }
 
 // HandleGrant applies an owner's reply to the request with that number.
 func (m *Manager) HandleGrant(number uint64, reply *pb.QuotaGrant) {
 	g := grant{
-		tokens:     int(min(reply.GetTokens(), maxWanted)),
-		retryAfter: min(time.Duration(reply.GetRetryAfterUs())*time.Microsecond, maxRetryAfter),
-		owner:      reply.GetOwner(),
-		starting:   reply.GetStarting(),
+		tokens:      int(min(reply.GetTokens(), maxWanted)),
+		retryAfter:  min(time.Duration(reply.GetRetryAfterUs())*time.Microsecond, maxRetryAfter),
+		owner:       reply.GetOwner(),
+		starting:    reply.GetStarting(),
+		refusedPerS: max(float64(reply.GetRefusedPerS()), 0),
 	}
 	m.shards[number&(shardCount-1)].step(number, func(h *holder, now time.Time, p *Placement, number uint64, e *effects) {
 		h.reply(now, p, number, g, e)
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -12,12 +12,22 @@
 	// unknownRetryAfter is the Retry-After while no owner can be reached: a part has a
 	// new owner or is skipped no longer within about that time.
 	unknownRetryAfter = time.Second
+	// refusedTime is the time constant of estimates of the rate of refusals. A surge of an
+	// organisation lasts several seconds.
+	refusedTime = 2 * time.Second
+	// overCapPart is the rate of refusals, as a part of the cap's rate, from which on a node
+	// that has taken the last token is told that the part is empty.
+	overCapPart = 0.1
+	// minShare keeps divisions finite.
+	minShare = 1e-6
 	// repeatWindow is how long a grant is kept for a repeated request. It is longer
 	// than the time after which a request is repeated plus a round trip.
 	repeatWindow = 300 * time.Millisecond
 	// maxWanted bounds a request for tokens, so that a malformed one can't empty a part
 	// of any size at once.
 	maxWanted = 1000
+	// maxReported bounds the refused requests of a request for tokens in the same way.
+	maxReported = 100_000
 )
 
 // Defaults of the bounds of a cap.
@@ -74,6 +84,8 @@
 	// starting reports that the owner doesn't grant yet because the fleet has just
 	// started.
 	starting bool
+	// refusedPerS is the rate at which the fleet refuses requests; zero: not known.
+	refusedPerS float64
 }
 
 // requestID identifies a request for tokens.
@@ -97,15 +109,17 @@
 	level      float64
 	// accrued is Placement.accruedAt of the last change of level.
 	accrued float64
-	// nextSlot is the last Retry-After time that was given, so that the next refused
-	// request gets a later one.
+	// nextSlot is the time up to which the cap is promised to refused callers.
 	nextSlot time.Time
+	// refused is the rate at which the fleet refuses requests.
+	refused rateEstimate
 	// repeats are the latest grants, oldest first.
 	repeats []repeat
 }
 
-// grant takes up to wanted tokens from the part.
-func (b *bucket) grant(now time.Time, p *Placement, slot int, c Cap, limits Limits, id requestID, wanted int) grant {
+// grant takes up to wanted tokens from the part for a node that has refused requests since
+// it last asked.
+func (b *bucket) grant(now time.Time, p *Placement, slot int, c Cap, limits Limits, id requestID, wanted, refused int) grant {
 	held, active := p.active(slot, now)
 	if !active {
 		wait, owned := p.activeIn(slot, now)
@@ -118,8 +132,15 @@
 	tokens := max(min(min(wanted, maxWanted), int(b.level)), 0)
 	b.level -= float64(tokens)
 	reply := grant{tokens: tokens, owner: true}
+	b.refused.add(now, refused)
 	if tokens < wanted {
-		reply.retryAfter = b.slot(now, c.RatePerS*limits.RateFactor*p.share)
+		refused = max(refused, 1)
+	}
+	rate := c.RatePerS * limits.RateFactor
+	retryAfter := b.slot(now, rate, p, refused)
+	reply.refusedPerS = b.refused.at(now)
+	if tokens < wanted || b.level < 1 && reply.refusedPerS > overCapPart*rate {
+		reply.retryAfter = retryAfter
 	}
 	if tokens > 0 && id.from != "" {
 		b.repeats = append(b.repeats, repeat{id: id, at: now, grant: reply})
@@ -155,19 +176,41 @@
 	b.accrued = max(accrued, b.accrued)
 }
 
-// slot returns the time until the next token that no refused request was told of.
-func (b *bucket) slot(now time.Time, rate float64) time.Duration {
-	if rate <= 0 {
+// slot promises the cap to a number of refused callers, one after the other, and returns
+// the time until the last one of them may come back. Every part is told of all refused
+// requests, so the callers are spread at the rate of the whole cap.
+func (b *bucket) slot(now time.Time, rate float64, p *Placement, refused int) time.Duration {
+	if rate *= p.total; rate <= 0 {
 		return unknownRetryAfter
 	}
-	interval := time.Duration(min(float64(time.Second)/rate, float64(maxRetryAfter)))
-	next := now.Add(time.Duration(math.Max(1-b.level, 0) * float64(interval)))
-	if later := b.nextSlot.Add(interval); later.After(next) {
-		next = later
+	if b.nextSlot.Before(now) {
+		empty := max(1-b.level, 0) / (rate * max(p.share, minShare) / max(p.total, minShare))
+		b.nextSlot = now.Add(seconds(empty) - seconds(1/rate)) // the first one gets the next token
 	}
-	if latest := now.Add(maxRetryAfter); next.After(latest) {
-		next = latest
+	b.nextSlot = b.nextSlot.Add(seconds(float64(refused) / rate))
+	if latest := now.Add(maxRetryAfter); b.nextSlot.After(latest) {
+		b.nextSlot = latest
 	}
-	b.nextSlot = next
-	return next.Sub(now)
+	return max(b.nextSlot.Sub(now), 0)
+}
+
+// seconds returns a duration of at most maxRetryAfter.
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
+// rateEstimate is the rate of events, an exponentially weighted mean.
+type rateEstimate struct {
+	perS    float64
+	updated time.Time
+}
+
+// at returns the rate at a time.
+func (r *rateEstimate) at(now time.Time) float64 {
+	return r.perS * math.Exp(-max(now.Sub(r.updated), 0).Seconds()/refusedTime.Seconds())
+}
+
+func (r *rateEstimate) add(now time.Time, count int) {
+	r.perS = r.at(now) + float64(count)/refusedTime.Seconds()
+	r.updated = now
 }
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -101,6 +101,10 @@
 	messages                    int
 	// recorded are the nodes with a join record in the log.
 	recorded []string
+	// onRefused is called for a refused request; nil: nothing is.
+	onRefused func(retryAfter time.Duration)
+	// returned and servedReturns count the requests of refused callers that came back.
+	returned, servedReturns int
 }
 
 // simNode is a node of the fleet.
@@ -126,6 +130,8 @@
 	waiter   uint64
 	// since are the times from which requests have waited for the start of the fleet.
 	since map[uint64]time.Duration
+	// returning are the waiting requests of refused callers that came back.
+	returning map[uint64]bool
 	// seen are the states of the other nodes in this node's view; -1: unknown.
 	seen    []State
 	seenAt  []time.Time
@@ -232,7 +238,7 @@
 	n.changed = true
 	n.deferred = nil
 	n.recorded, n.logRead = nil, false
-	n.since = map[uint64]time.Duration{}
+	n.since, n.returning = map[uint64]time.Duration{}, map[uint64]bool{}
 	epoch := n.epoch
 	var tick func()
 	tick = func() {
@@ -486,7 +492,7 @@
 		s.deliver(n, owner, func() {
 			var g grant
 			if m.region == owner.member.Region {
-				g = owner.holder.bucket.grant(s.time(), owner.fleet.current(), 0, s.options.cap, s.limits, requestID{n.member.Address, m.number}, m.wanted)
+				g = owner.holder.bucket.grant(s.time(), owner.fleet.current(), 0, s.options.cap, s.limits, requestID{n.member.Address, m.number}, m.wanted, m.refused)
 			}
 			s.deliver(owner, n, func() {
 				n.step(func(e *effects) { n.holder.reply(s.time(), n.fleet.current(), m.number, g, e) })
@@ -504,14 +510,20 @@
 		})
 	}
 	for _, r := range e.results {
+		isReturn := n.returning[r.waiter]
+		delete(n.returning, r.waiter)
 		switch {
 		case r.ok:
 			delete(n.since, r.waiter)
 			s.spend(n, r.token)
+			s.servedReturns += b2i(isReturn)
 		case r.starting || n.since[r.waiter] > 0:
 			n.retryAtStart(r.waiter)
 		default:
 			s.refused++
+			if s.onRefused != nil && !isReturn {
+				s.onRefused(r.retryAfter)
+			}
 		}
 	}
 }
@@ -586,6 +598,18 @@
 	n.whenRunning(func() { n.acquire(n.sim.now) })
 }
 
+// comeBack makes the request of a refused caller that has waited, at any node.
+func (s *sim) comeBack(wait time.Duration) {
+	s.after(wait, func() {
+		n := s.nodes[s.rand.IntN(len(s.nodes))]
+		if n.up {
+			s.returned++
+			n.returning[n.waiter+1] = true
+			n.acquire(s.now)
+		}
+	})
+}
+
 // demand makes requests at random times, rate a second, at nodes that choose names.
 func (s *sim) demand(rate float64, choose func() int) {
 	var next func()
