config: 10,000 organisations fit into a configuration

Change: a configuration may have 1 MiB and a record 1.5 MiB, below the 2 MiB of a call to the store and of a message between nodes. The encoding in the log stays, so every build reads it.

How long a fleet takes to have such a configuration in force everywhere wasn't run. A node of an older build refuses a configuration of more than 512 KiB, so one may be published only when all nodes have this build.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,9 +16,10 @@
 
 const invalid = pb.ErrorKind_ERROR_KIND_INVALID_CONFIG
 
-// MaxEncodedBytes is the maximum encoded size of a configuration in bytes. It leaves room
-// in a log record for the rest of a snapshot.
-const MaxEncodedBytes = 512 << 10
+// MaxEncodedBytes is the maximum encoded size of a configuration in bytes. 10,000
+// organisations with a key, a rate, a burst and a region take about 780 KiB. It leaves
+// room in a log record for the rest of a snapshot.
+const MaxEncodedBytes = 1 << 20
 
 // Balancers are the valid names for Policy.balancer.
 var Balancers = balance.Names()
--- a/internal/configlog/follow_peers.go
+++ b/internal/configlog/follow_peers.go
@@ -235,8 +235,12 @@
 		From:            own.FoldedThrough + 1,
 		OperatorVersion: own.OperatorVersion(),
 		Evacuations:     evacuationsHash(own.Config),
+		AcceptsGzip:     true,
 	}, reply)
-	return reply, err
+	if err != nil {
+		return nil, err
+	}
+	return decompressReply(reply)
 }
 
 // applyReply checks a peer's reply to a pull and applies it.
--- a/internal/configlog/rpc.go
+++ b/internal/configlog/rpc.go
@@ -32,6 +32,15 @@
 // Pull returns the records from an offset on, or a snapshot if they are no longer
 // buffered.
 func (r *RPC) Pull(args *pb.ConfigPull, reply *pb.ConfigPullReply) error {
+	r.pull(args, reply)
+	if args.GetAcceptsGzip() {
+		return compressReply(reply)
+	}
+	return nil
+}
+
+// pull fills the reply to a pull.
+func (r *RPC) pull(args *pb.ConfigPull, reply *pb.ConfigPullReply) {
 	f := r.follower
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -42,13 +51,12 @@
 		if hasNews && f.folded.Version() > 0 {
 			reply.Snapshot = f.folded.Snapshot()
 		}
-		return nil
+		return
 	}
 	reply.Records, reply.Chain = f.buffer.recordsFrom(args.GetFrom())
 	if len(reply.Records) == 0 && f.folded.Version() > 0 {
 		reply.Snapshot = f.folded.Snapshot()
 	}
-	return nil
 }
 
 // State returns the folded state as a snapshot.
--- a/internal/platformlog/log.go
+++ b/internal/platformlog/log.go
@@ -14,11 +14,13 @@
 
 // Names of the streams, and limits of their records.
 const (
-	ConfigStream   = "egretfield-config"
-	MemberStream   = "egretfield-members"
-	KeeperStream   = "egretfield-keepers"
-	FirstOffset    = int64(1)
-	MaxRecordBytes = 1 << 20
+	ConfigStream = "egretfield-config"
+	MemberStream = "egretfield-members"
+	KeeperStream = "egretfield-keepers"
+	FirstOffset  = int64(1)
+	// MaxRecordBytes holds a snapshot with the largest configuration, and stays below the
+	// 2 MiB of a call to the log and of a message between nodes.
+	MaxRecordBytes = 3 << 19
 )
 
 // Errors returned by a Log. Check for them with errors.Is.
