quota, member: a loss of power isn't followed by a wait for missing machines

Cause: nodes of a starting fleet waited 3 s for every instance with a join record of the last hour. Instances that had been stopped as planned kept theirs, and some machines are away for other reasons. Change: where usage caps are configured, a node that leaves replaces its join record by one that says so. A start isn't delayed while at most a sixth of the recorded members are missing; the share still counts them.

--- a/internal/member/addresses.go
+++ b/internal/member/addresses.go
@@ -42,6 +42,9 @@
 	c.byInstance[m.Instance] = &knownAddress{address: m.ControlAddress, instance: m.Instance, appendedAt: appendedAt}
 }
 
+// remove drops the address of an instance that has left.
+func (c *knownAddresses) remove(instance string) { delete(c.byInstance, instance) }
+
 // expire drops the addresses whose join record is older than tombstoneRetention,
 // which is longer than any network partition that the two sides can still recover
 // from.
--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -195,6 +195,21 @@
 			So(recorded, ShouldHaveLength, 3)
 			So(recorded, ShouldNotContain, "a02")
 		})
+		// Guards against a fleet that waits after a loss of power for instances that were
+		// stopped as planned.
+		Convey("An instance that has left isn't counted by nodes that start later", t, func() {
+			left := c.start("left", "left:1", "region0", "z:1")
+			time.Sleep(2 * DefaultJoinSpread)
+			left.list.Leave(t.Context())
+			left.list.RecordLeave(t.Context())
+			c.crash(left)
+			n := c.start("later", "later:1", "region0")
+			time.Sleep(time.Second)
+			recorded, read := n.list.JoinRecords()
+			So(read, ShouldBeTrue)
+			So(recorded, ShouldContain, "z")
+			So(recorded, ShouldNotContain, "left")
+		})
 	})
 }
 
--- a/internal/member/memberstream.go
+++ b/internal/member/memberstream.go
@@ -248,7 +248,11 @@
 		if ms := join.GetAppendedUnixMs(); ms != 0 {
 			appendedAt = time.UnixMilli(ms)
 		}
-		l.knownAddresses.add(m, appendedAt)
+		if m.Status == left {
+			l.knownAddresses.remove(m.Instance)
+		} else {
+			l.knownAddresses.add(m, appendedAt)
+		}
 		return
 	}
 	if m.Incarnation > l.own().Member.Incarnation {
@@ -340,6 +344,21 @@
 	return nil
 }
 
+// RecordLeave replaces this instance's join record by one that says that it has left, so
+// that nodes which start later don't count it as a member of the fleet. It is meant to be
+// called after Leave.
+func (l *List) RecordLeave(ctx context.Context) {
+	l.mu.Lock()
+	own, departures := l.own().Member, l.departures
+	l.mu.Unlock()
+	if l.opts.Log == nil || own.Status != left {
+		return
+	}
+	if err := l.appendJoin(ctx, own, departures); err != nil {
+		l.logger.Info("the log doesn't say that this instance has left", zap.Error(err))
+	}
+}
+
 // appendOwn appends this node's join record.
 func (f *logFollower) appendOwn() {
 	l := f.l
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -59,6 +59,11 @@
 	membersCtx, cancelMembers := context.WithDeadline(context.Background(), n.stopDeadline.Add(-timeout/stopReserveDivisor))
 	defer cancelMembers()
 	n.members.Leave(membersCtx)
+	if n.hasUsageCaps() {
+		// Owners of caps that start later would otherwise take this instance for one that
+		// they can't reach, and grant less for it.
+		n.members.RecordLeave(membersCtx)
+	}
 	n.logger.Info("left")
 }
 
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,13 @@
 	n.offers.SetQuota(n.quota)
 }
 
+// hasUsageCaps reports whether the configuration in force has an organisation with a cap.
+func (n *Node) hasUsageCaps() bool {
+	return slices.ContainsFunc(n.follower.Current().GetConfig().GetOrganisations(), func(o *pb.Organisation) bool {
+		return o.GetRatePerS() > 0
+	})
+}
+
 // quotaViews caches the latest view in the form of package quota.
 type quotaViews struct {
 	mu   sync.Mutex
--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -35,6 +35,10 @@
 	// unknownSides is the number of sides of a partition that is assumed while the size of
 	// the fleet is unknown.
 	unknownSides = 2
+	// missingDivisor: up to 1/missingDivisor of the recorded members may be missing in a
+	// common start without delaying it. After a loss of power some machines are often away
+	// for another reason, and all requests would wait for them.
+	missingDivisor = 6
 	// knownFor is how long a member that died without leaving counts as known: a
 	// partition is expected to heal within it.
 	knownFor = 20 * time.Second
@@ -463,7 +467,7 @@
 	f.placement.starting = together
 	// Members known from the log only may be running and granting, until they find this
 	// side dead or themselves isolated.
-	isMissing := !f.complete && f.count() < f.expected
+	isMissing := !f.complete && f.count() < f.expected-f.expected/missingDivisor
 	if together && !isMissing {
 		wait = startDelay
 	}
