--- a/internal/member/addresses.go
+++ b/internal/member/addresses.go
@@ -42,6 +42,9 @@
 	c.byInstance[m.Instance] = &knownAddress{address: m.ControlAddress, instance: m.Instance, appendedAt: appendedAt}
 }
 
+// remove drops the address of an instance that has left.
+func (c *knownAddresses) remove(instance string) { delete(c.byInstance, instance) }
+
 // expire drops the addresses whose join record is older than tombstoneRetention,
 // which is longer than any network partition that the two sides can still recover
 // from.
@@ -53,6 +56,18 @@
 	}
 }
 
+// recorded returns the instances whose join record was appended after a point in time, and
+// this node's own.
+func (c *knownAddresses) recorded(after time.Time, own string) []string {
+	instances := []string{own}
+	for instance, known := range c.byInstance {
+		if known.appendedAt.After(after) {
+			instances = append(instances, instance)
+		}
+	}
+	return instances
+}
+
 // unreachedAddresses returns the addresses to try: those of dead members, those
 // known from the member stream unless the instance has left, and the seeds. It
 // skips the addresses of this node and of reachable members. The caller holds mu.
--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -163,6 +163,56 @@
 	})
 }
 
+// TestJoinRecords guards against a node that takes a side of a partition for the whole
+// fleet, and against one that counts instances that were removed long ago.
+func TestJoinRecords(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.close()
+		Convey("Recent join records name the fleet as soon as the log could be read", t, func() {
+			c.startMany(3)
+			time.Sleep(2 * DefaultJoinSpread)
+			c.crash(c.nodes["a02:1"])
+			time.Sleep(recordedFor - 10*time.Minute)
+			c.crash(c.nodes["a01:1"])
+			c.log.setDown(true)
+			n := c.start("z", "z:1", "region0")
+			time.Sleep(time.Second)
+			_, read := n.list.JoinRecords()
+			So(read, ShouldBeFalse)
+			c.log.mu.Lock()
+			for i := range c.log.records {
+				c.log.records[i].Time = time.Now() // as of a log that doesn't keep the time
+			}
+			c.log.mu.Unlock()
+			c.log.setDown(false)
+			time.Sleep(2 * firstReadRetryInterval)
+			recorded, read := n.list.JoinRecords()
+			So(read, ShouldBeTrue)
+			So(recorded, ShouldHaveLength, 4)
+			time.Sleep(20 * time.Minute)
+			recorded, _ = n.list.JoinRecords()
+			So(recorded, ShouldHaveLength, 3)
+			So(recorded, ShouldNotContain, "a02")
+		})
+		// Guards against a fleet that waits after a loss of power for instances that were
+		// stopped as planned.
+		Convey("An instance that has left isn't counted by nodes that start later", t, func() {
+			left := c.start("left", "left:1", "region0", "z:1")
+			time.Sleep(2 * DefaultJoinSpread)
+			left.list.Leave(t.Context())
+			left.list.RecordLeave(t.Context())
+			c.crash(left)
+			n := c.start("later", "later:1", "region0")
+			time.Sleep(time.Second)
+			recorded, read := n.list.JoinRecords()
+			So(read, ShouldBeTrue)
+			So(recorded, ShouldContain, "z")
+			So(recorded, ShouldNotContain, "left")
+		})
+	})
+}
+
 func TestNamesake(t *testing.T) {
 	inCluster(t, 5, func(c *cluster, nodes []*node) {
 		Convey("Of two processes that run as one instance, the one started earlier is superseded", t, func() {
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,13 @@
 	n.offers.SetQuota(n.quota)
 }
 
+// hasUsageCaps reports whether the configuration in force has an organisation with a cap.
+func (n *Node) hasUsageCaps() bool {
+	return slices.ContainsFunc(n.follower.Current().GetConfig().GetOrganisations(), func(o *pb.Organisation) bool {
+		return o.GetRatePerS() > 0
+	})
+}
+
 // quotaViews caches the latest view in the form of package quota.
 type quotaViews struct {
 	mu   sync.Mutex
@@ -49,6 +57,8 @@
 	}
 	result := cache.last
 	result.Joined = n.members.Joined()
+	recorded, read := n.members.JoinRecords()
+	result.Recorded, result.LogUnread = recorded, !read
 	switch health.Reason {
 	case member.ReasonIsolated, member.ReasonPaused, member.ReasonSuperseded:
 		result.Isolated = true
--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -29,6 +29,16 @@
 	// youngTime is how long requests wait instead of being refused after the start of a
 	// whole fleet: the requests that have waited until then are served within it.
 	youngTime = 2 * time.Second
+	// recordsWait is how long the end of a start waits for the join records. A log that
+	// can be reached returns them sooner; afterwards the smaller share is granted.
+	recordsWait = time.Second
+	// unknownSides is the number of sides of a partition that is assumed while the size of
+	// the fleet is unknown.
+	unknownSides = 2
+	// missingDivisor: up to 1/missingDivisor of the recorded members may be missing in a
+	// common start without delaying it. After a loss of power some machines are often away
+	// for another reason, and all requests would wait for them.
+	missingDivisor = 6
 	// knownFor is how long a member that died without leaving counts as known: a
 	// partition is expected to heal within it.
 	knownFor = 20 * time.Second
@@ -75,6 +85,11 @@
 	// Isolated reports that neither members nor the log have answered for some time, so
 	// that the states of the members are outdated.
 	Isolated bool
+	// Recorded are the instances with a recent join record in the log. Members of the other
+	// side of a partition may be known from there only. LogUnread reports that the log
+	// hasn't been read since this node started.
+	Recorded  []string
+	LogUnread bool
 }
 
 // knownMember is a member that counts as a part of the fleet.
@@ -122,6 +137,13 @@
 	// growth are the times at which members were seen for the first time, until the
 	// start is over.
 	growth []time.Time
+	// expected is the number of members by the join records, and sizeKnown reports whether
+	// these or a member that ran long before this node have told the size of the fleet.
+	expected  int
+	sizeKnown bool
+	// complete reports that expected and sizeKnown have no effect any more: the view has
+	// contained as many members, or the node has been a member for knownFor.
+	complete bool
 	// settled reports whether the start is over.
 	settled bool
 	// startCredit is the time before the end of the start of a whole fleet for which
@@ -142,7 +164,9 @@
 	// share is the share of every cap that this node may grant as an owner, and accrued
 	// its integral over time in seconds up to checkedAt.
 	share, accrued float64
-	// nodes is the number of known nodes.
+	// total is the share that the owners of all regions may grant together.
+	total float64
+	// nodes is the number of nodes that the cap is shared among.
 	nodes int
 	// regions are the regions with a live member, this node's first.
 	regions []string
@@ -189,6 +213,7 @@
 		f.joined, f.joinedAt = true, now
 	}
 	f.note(now, view)
+	f.noteRecords(now, view)
 	f.place(now, view)
 	f.Tick(now)
 }
@@ -223,10 +248,46 @@
 	}
 }
 
-// expire stops counting members that have been dead for longer than knownFor. It
-// reports whether there were any.
+// noteRecords updates what the join records and members that have run for long tell about
+// the size of the fleet. The members of a side of a partition that have all restarted don't
+// know of the other side from each other.
+func (f *Fleet) noteRecords(now time.Time, view View) {
+	if f.complete || now.Sub(f.joinedAt) > knownFor {
+		f.complete = true
+		return
+	}
+	hasLeft := map[string]bool{}
+	f.sizeKnown = f.sizeKnown || !view.LogUnread
+	for _, m := range view.Members {
+		hasLeft[m.Instance] = m.State == Left
+		f.sizeKnown = f.sizeKnown || m.State != Dead && m.State != Left && f.self.Started.Sub(m.Started) > knownFor
+	}
+	f.expected = 0
+	for _, instance := range view.Recorded {
+		if !hasLeft[instance] {
+			f.expected++
+		}
+	}
+	f.complete = !view.LogUnread && f.count() >= f.expected
+}
+
+// size returns the number of members that the cap is shared among.
+func (f *Fleet) size() int {
+	switch count := f.count(); {
+	case f.complete:
+		return count
+	case !f.sizeKnown:
+		return unknownSides * count
+	default:
+		return max(count, f.expected)
+	}
+}
+
+// expire stops counting members that have been dead for longer than knownFor, and those
+// known from join records only that long after this node has joined. It reports whether
+// there were any.
 func (f *Fleet) expire(now time.Time) bool {
-	changed := false
+	changed := !f.complete && now.Sub(f.joinedAt) > knownFor
 	for _, k := range f.known {
 		if !k.expired && (k.State == Dead || !k.listed) && now.Sub(k.lastAlive) > knownFor {
 			k.expired, changed = true, true
@@ -246,9 +307,9 @@
 	return count
 }
 
-// reachable returns the members that may own parts and the number of those of this
-// node's region that are alive.
-func (f *Fleet) reachable(view View) (eligible []*knownMember, aliveHere int) {
+// reachable returns the members that may own parts, and the numbers of those that are alive
+// in this node's region and in all.
+func (f *Fleet) reachable(view View) (eligible []*knownMember, aliveHere, alive int) {
 	self := false
 	for _, k := range f.known {
 		own := k.Instance == f.self.Instance
@@ -256,28 +317,37 @@
 		if own || !view.Isolated && k.listed && (k.State == Alive || k.State == Suspect) {
 			eligible = append(eligible, k)
 		}
-		if k.Region == f.self.Region && (own || !view.Isolated && k.listed && k.State == Alive) {
-			aliveHere++
+		if own || !view.Isolated && k.listed && k.State == Alive {
+			alive++
+			aliveHere += b2i(k.Region == f.self.Region)
 		}
 	}
 	if !self { // the view reports this node as having left
-		return nil, 0
+		return nil, 0, 0
+	}
+	return eligible, aliveHere, alive
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
 	}
-	return eligible, aliveHere
+	return 0
 }
 
 // place computes the share and the owners of all slots.
 func (f *Fleet) place(now time.Time, view View) {
-	eligible, aliveHere := f.reachable(view)
+	eligible, aliveHere, alive := f.reachable(view)
 	share := 0.0
-	count := f.count()
-	if count > 0 {
-		share = float64(aliveHere) / float64(count)
+	size := f.size()
+	if size > 0 {
+		share = float64(aliveHere) / float64(size)
+		f.placement.total = float64(alive) / float64(size)
 	}
 	if n := len(f.history); n == 0 || f.history[n-1].share != share {
 		f.history = append(f.history, shareAt{now, share})
 	}
-	f.placement.nodes = count
+	f.placement.nodes = size
 	byRegion := map[string][]*knownMember{}
 	for _, k := range eligible {
 		byRegion[k.Region] = append(byRegion[k.Region], k)
@@ -395,9 +465,15 @@
 	wait := gainDelay
 	together := f.startsTogether()
 	f.placement.starting = together
-	if together {
+	// Members known from the log only may be running and granting, until they find this
+	// side dead or themselves isolated.
+	isMissing := !f.complete && f.count() < f.expected-f.expected/missingDivisor
+	if together && !isMissing {
 		wait = startDelay
 	}
+	if !f.complete && !f.sizeKnown {
+		wait = max(wait, recordsWait)
+	}
 	recent := 0
 	for i := len(f.growth) - 1; i >= 0 && now.Sub(f.growth[i]) < wait; i-- {
 		recent++
@@ -406,7 +482,7 @@
 		return
 	}
 	f.growth = nil
-	if together {
+	if together && !isMissing {
 		f.startCredit = min(now.Sub(f.joinedAt), maxStartWait)
 		f.placement.youngUntil = now.Add(youngTime)
 	}
