entry: hedge calls of servers, except during a hedged attempt there

Cause: a slow call of a server makes its parent slow, but calls with a depth weren't hedged. Calls without one (on a platform) were, also those made for a hedged attempt, which multiplies with the depth of the chain.

Change: calls are hedged like other requests. The entry marks a hedged attempt with the header Egret-Hedged, the gate counts those that its server runs, and the entry of the same node withholds hedged attempts meanwhile (reason "nested"). A request with an organisation or from another machine isn't a call of that server and isn't affected. The mark is a header of its own because nodes of an older build refuse a further field of Egret-Call; they ignore the header.

No latency was measured for this change.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,9 @@
 	Headers *wire.Headers
 	// Local handles requests for this instance in process; may be nil.
 	Local LocalGate
+	// RunsHedged reports whether the backend server next to this node runs a hedged
+	// attempt; nil: it never does.
+	RunsHedged func() bool
 	// BalancerFor returns the balancer of a configured service, or nil if there is
 	// none.
 	BalancerFor func(service string) balance.Balancer
--- a/internal/entry/hedging.go
+++ b/internal/entry/hedging.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -34,11 +35,10 @@
 }
 
 // mayHedge reports whether the attempt in progress may be followed by a hedged one, whose
-// latency is then measured. Calls of other servers aren't hedged, as a hedged attempt of
-// their caller would multiply them.
+// latency is then measured.
 func (x *exchange) mayHedge() bool {
 	return x.service.state.hedging.Enabled() && x.attempts == 1 && x.maxAttempts() > 1 && x.call.Idempotent &&
-		x.call.Depth == 0 && !x.call.Streams() && x.handler.options.Offers != nil
+		!x.call.Streams() && x.handler.options.Offers != nil
 }
 
 func (x *exchange) hedgeRoute() *hedge.Estimator {
@@ -101,7 +101,7 @@
 }
 
 // startParallel sends an attempt with a copy of the call in a goroutine of its own.
-func (x *exchange) startParallel(ctx context.Context, endpoint *balance.Endpoint, offer *balance.EndpointOffer) *parallelAttempt {
+func (x *exchange) startParallel(ctx context.Context, endpoint *balance.Endpoint, offer *balance.EndpointOffer, isHedged bool) *parallelAttempt {
 	r := &parallelAttempt{
 		sending:   sending{handler: x.handler, endpoint: endpoint},
 		ownCall:   x.call,
@@ -112,6 +112,7 @@
 	}
 	r.ownCall.Header = x.call.Header.Clone()
 	r.ownCall.Attempt = x.handler.ids.Attempt(endpoint.Incarnation)
+	r.ownCall.Hedged = isHedged
 	r.call = &r.ownCall
 	// The context of the attempt whose answer is delivered ends with the request's.
 	ctx, r.cancel = context.WithCancel(ctx)
@@ -142,7 +143,7 @@
 // attemptHedged sends the first attempt and, if its answer is late and hedging is
 // allowed, a second one to another server. It returns the answer to deliver or to retry.
 func (x *exchange) attemptHedged(ctx context.Context, endpoint *balance.Endpoint, plan hedge.Plan) *wire.Answer {
-	first := x.startParallel(ctx, endpoint, x.offer)
+	first := x.startParallel(ctx, endpoint, x.offer, false)
 	timer := time.NewTimer(plan.Delay)
 	defer timer.Stop()
 	select {
@@ -171,6 +172,7 @@
 		Deadline: x.call.Deadline,
 		Median:   plan.Median,
 		Stopping: x.handler.stopBy.Load() != nil,
+		Nested:   x.mayBeNested(),
 		Suspect:  x.handler.options.Quarantine.Suspects(x.call.Fingerprint),
 	})
 	if reason != hedge.None {
@@ -199,7 +201,28 @@
 		return nil, hedge.NoOffer
 	}
 	x.tried = append(x.tried, endpoint.Instance)
-	return x.startParallel(ctx, endpoint, chosen), hedge.None
+	return x.startParallel(ctx, endpoint, chosen, true), hedge.None
+}
+
+// mayBeNested reports whether the request may be a call that the backend server next to this
+// node makes for a hedged attempt. A call doesn't name the request that it belongs to, so no
+// call of a server is hedged while it runs a hedged attempt. Hedged calls of a hedged
+// attempt would multiply with the depth of the chain.
+func (x *exchange) mayBeNested() bool {
+	runsHedged := x.handler.options.RunsHedged
+	return runsHedged != nil && runsHedged() && x.call.Organisation == "" && isFromThisMachine(x.r)
+}
+
+// isFromThisMachine reports whether a request may come from the machine of this node: its
+// connection has the same address at both ends, or one is unknown.
+func isFromThisMachine(r *http.Request) bool {
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if !ok {
+		return true
+	}
+	remoteHost, _, errRemote := net.SplitHostPort(r.RemoteAddr)
+	localHost, _, errLocal := net.SplitHostPort(local.String())
+	return errRemote != nil || errLocal != nil || remoteHost == localHost || net.ParseIP(remoteHost).IsLoopback()
 }
 
 // offerForHedge asks gates of the own region and returns the offer for the second attempt,
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -65,6 +65,9 @@
 	}
 	r := &run{gate: g, server: server, call: call, admittedAt: startedAt, startedAt: time.Now(), slowdownFactor: g.limiter.slowdownFactor()}
 	server.crash.requestStarted(call.Fingerprint)
+	if call.Hedged {
+		g.hedgedRuns.Add(1)
+	}
 	return r.do(ctx)
 }
 
@@ -235,6 +238,9 @@
 func (r *run) end(state pb.AttemptState, answer *pb.StoredAnswer, result runResult) {
 	r.gate.attempts.end(r.call.Attempt, state, answer)
 	r.server.crash.requestEnded(r.call.Fingerprint)
+	if r.call.Hedged {
+		r.gate.hedgedRuns.Add(-1)
+	}
 	result.class, result.organisation = r.call.Class, r.call.Organisation
 	result.route, result.holdTime, result.slowdownFactor = r.call.Route, time.Since(r.startedAt), r.slowdownFactor
 	r.gate.limiter.release(result)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -108,6 +108,8 @@
 	// stopDeadline is when the node stops and every request must have ended; nil:
 	// the node isn't stopping.
 	stopDeadline atomic.Pointer[time.Time]
+	// hedgedRuns is the number of hedged attempts that the backend server runs.
+	hedgedRuns   atomic.Int64
 	counters     counters
 	traceLimiter *rate.Limiter
 	// minSilence is the least silence after which a connection to the server counts
@@ -206,6 +208,9 @@
 	g.limiter.setPromisedPercent(int(percent))
 }
 
+// RunsHedged reports whether the backend server runs a hedged attempt.
+func (g *Gate) RunsHedged() bool { return g.hedgedRuns.Load() > 0 }
+
 // SetDraining makes the gate refuse new requests while draining is true. Requests
 // in flight and in the queue are served.
 func (g *Gate) SetDraining(draining bool) {
--- a/internal/hedge/service.go
+++ b/internal/hedge/service.go
@@ -32,11 +32,13 @@
 	RetryBudget
 	// ConfigChanged: a new configuration came into force since the first attempt.
 	ConfigChanged
+	// Nested: the request may be a call that a server makes for a hedged attempt.
+	Nested
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
 
-var reasonNames = [ReasonCount]string{"none", "stopping", "suspect", "time_left", "refusals", "limit", "no_offer", "retry_budget", "config_changed"}
+var reasonNames = [ReasonCount]string{"none", "stopping", "suspect", "time_left", "refusals", "limit", "no_offer", "retry_budget", "config_changed", "nested"}
 
 // String returns the name used in metrics.
 func (r Reason) String() string { return reasonNames[r] }
@@ -122,6 +124,8 @@
 	// Median is the usual latency of the request's route.
 	Median            time.Duration
 	Stopping, Suspect bool
+	// Nested reports whether the request may be a call for a hedged attempt.
+	Nested bool
 }
 
 // Check returns the reason why no hedged attempt is sent, or None. It is called before
@@ -132,6 +136,8 @@
 		return Stopping
 	case situation.Suspect:
 		return Suspect
+	case situation.Nested:
+		return Nested
 	case situation.Deadline.Sub(situation.Now) < situation.Median:
 		return TimeLeft
 	case situation.Now.UnixNano()-s.refusedAt.Load() < int64(refusalQuietTime):
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -193,6 +193,7 @@
 		Instance:      n.settings.GetInstance(),
 		Region:        n.settings.GetRegion(),
 		Local:         n.gate,
+		RunsHedged:    n.gate.RunsHedged,
 		BalancerFor:   n.balancers.balancer,
 		Entries:       n.liveMembers,
 		ControlClient: n.controlClient,
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -39,6 +39,8 @@
 	// ConfigVersion is the version of the configuration by which the entry chose the
 	// gate; zero if unknown. A gate with an older one doesn't judge the entry's choice.
 	ConfigVersion int64
+	// Hedged reports whether another attempt of the request runs already.
+	Hedged bool
 	// KeyUse is the API key without which the request may not start; zero if it may.
 	KeyUse apikey.Use
 }
@@ -185,6 +187,7 @@
 	}
 	meta.Attempt = attempt
 	meta.RequestID = header.Get(HeaderRequestID)
+	meta.Hedged = header.Get(HeaderHedged) != ""
 	return meta, nil
 }
 
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -125,6 +125,9 @@
 		if token := x.client.options.PeerToken; token != "" {
 			buf = appendField(buf, HeaderPeer, token)
 		}
+		if call.Hedged {
+			buf = appendField(buf, HeaderHedged, "1")
+		}
 		buf = append(buf, HeaderCall+": "...)
 		buf = appendMeta(buf, &call.Meta, timeoutMs, call.Target.Sub(x.startedAt).Milliseconds())
 		buf = append(buf, "\r\n"...)
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -25,6 +25,9 @@
 	HeaderAttempt = "Egret-Attempt"
 	// HeaderCall carries the fields of Meta between nodes.
 	HeaderCall = "Egret-Call"
+	// HeaderHedged marks a hedged attempt between nodes. It isn't a field of HeaderCall, which
+	// nodes of an older build would refuse with one more.
+	HeaderHedged = "Egret-Hedged"
 	// HeaderPeer is a token by which a node proves to a gate that it belongs to the fleet.
 	HeaderPeer = "Egret-Peer"
 	// HeaderLoad carries the load report and the server time of an answer between nodes.
