entry: test that both failed attempts count toward the retry limit

Where the policy allows five attempts and a third endpoint is untried, a request whose two attempts answered 503 is not run a third time, whichever fails first. A hedged attempt that was refused doesn't count: the first one's failure is retried once. Without the line of adoptFailure that counts the dropped failure, the test sees three runs.

--- a/internal/entry/hedging_test.go
+++ b/internal/entry/hedging_test.go
@@ -649,6 +649,44 @@
 	}
 }
 
+// TestHedgedFailuresCount guards against a third run of a request after both of its attempts
+// failed, where the policy allows more attempts, and against a refusal that takes the place
+// of the one retry after a failure.
+func TestHedgedFailuresCount(t *testing.T) {
+	fail := func(change func(f *hedgeFleet)) hedgeOutcome {
+		return hedgeCase(t, 20, nil, func(f *hedgeFleet) hedgeAnswer {
+			f.config.Presets[0].Policy.MaxAttempts = 5
+			another := *f.endpoints[1] // an endpoint that wasn't tried, at the same server
+			another.Instance, another.ControlAddress = "s2", "s2"
+			f.balancer.Update(append(f.endpoints, &another), f.config.Presets[0].Policy)
+			f.entry.SetRoutes(entry.NewRoutes(f.config, "p"))
+			f.servers[0].answers(unavailableAfter(8 * hedgeUsual))
+			change(f)
+			return f.send("/x")
+		})
+	}
+	first := fail(func(f *hedgeFleet) { f.servers[1].answers(unavailableAfter(20 * hedgeUsual)) })
+	second := fail(func(f *hedgeFleet) { f.servers[1].answers(unavailableAfter(hedgeUsual)) })
+	Convey("Both failures count, whichever attempt fails first", t, func() {
+		for _, out := range []hedgeOutcome{first, second} {
+			So(out.code, ShouldEqual, http.StatusServiceUnavailable)
+			So(out.sent, ShouldEqual, 1)
+			So(out.runs, ShouldResemble, [2]int64{1, 1})
+			expectNothingLeft(out)
+		}
+	})
+	refused := fail(func(f *hedgeFleet) {
+		f.gates[1].SetDraining(true)
+		time.AfterFunc(7*hedgeUsual, func() { f.gates[1].SetDraining(false) })
+	})
+	Convey("A refused hedged attempt doesn't count: the failure of the first is retried once", t, func() {
+		So(refused.sent, ShouldEqual, 1)
+		So(refused.code, ShouldEqual, http.StatusOK)
+		So(refused.runs, ShouldResemble, [2]int64{1, 1})
+		expectNothingLeft(refused)
+	})
+}
+
 // TestHedgingLimits guards against hedged attempts beyond hedge_percent or the retry budget.
 func TestHedgingLimits(t *testing.T) {
 	const requests = 500
