entry, gate: withdraw waiting requests

Cause: a request that waits in the queue of a gate stays there when another server becomes free, for example after its server became slow or a gate was killed and its requests went elsewhere.

If one would start it at once, the control call Gate.Withdraw takes the attempt out of the queue; the gate refuses it on its own connection as not run, and only then it is placed again. An attempt that has started is left alone. Requests that aren't idempotent are withdrawn as well. A gate of an older build fails the call, and the request waits on.

It doesn't help where all servers are busy or gates don't know that their server is slow.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -73,6 +73,10 @@
 	attempts   int
 	quota      quotaState
 	attemptLog []attemptRecord
+	// withdrawals counts the attempts that were withdrawn while they waited at a gate.
+	withdrawals int
+	// withdrawnTo is the offer of the gate to which the request goes after its withdrawal.
+	withdrawnTo *balance.EndpointOffer
 	// failures counts the attempts that failed at a backend server and could be retried.
 	failures int
 	// uncertain is the answer of the latest attempt that may have run and was
@@ -237,8 +241,12 @@
 	}
 	x.call.Attempt = x.handler.ids.Attempt(endpoint.Incarnation)
 	start := time.Now()
+	watch := x.watchWait(ctx, endpoint, x.call.Attempt)
 	answer := x.send(ctx, endpoint)
-	x.setResult(answer, time.Since(start))
+	latency := time.Since(start)
+	watch.stop()
+	x.setResult(answer, latency)
+	x.noteWithdrawal(watch, answer)
 	x.recordLatency()
 	x.recordAttempt(endpoint, answer)
 	return answer
--- a/internal/entry/hedging.go
+++ b/internal/entry/hedging.go
@@ -144,13 +144,19 @@
 // allowed, a second one to another server. It returns the answer to deliver or to retry.
 func (x *exchange) attemptHedged(ctx context.Context, endpoint *balance.Endpoint, plan hedge.Plan) *wire.Answer {
 	first := x.startParallel(ctx, endpoint, x.offer, false)
+	watch := x.watchWait(ctx, endpoint, first.call.Attempt)
 	timer := time.NewTimer(plan.Delay)
 	defer timer.Stop()
 	select {
 	case <-first.ended:
-		return x.adoptFirst(first)
 	case <-timer.C:
 	}
+	if watch.stop() || first.hasEnded() {
+		<-first.ended
+		answer := x.adoptFirst(first)
+		x.noteWithdrawal(watch, answer)
+		return answer
+	}
 	second, reason := x.startHedge(ctx, first, plan)
 	if second == nil {
 		if reason != hedge.None {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -36,6 +36,7 @@
 	crossRegionBytes atomic.Int64
 	droppedLogLines  atomic.Int64
 	hedges           hedgeCounters
+	withdrawals      atomic.Int64
 	latency          metric.Float64Histogram
 	timeAdded        metric.Float64Histogram
 }
@@ -95,6 +96,7 @@
 		{"egretfield.entry.hedges_sent", "Hedged attempts.", h.metrics.hedges.sent.Load},
 		{"egretfield.entry.hedges_won", "Hedged attempts whose answer was delivered.", h.metrics.hedges.won.Load},
 		{"egretfield.entry.hedges_cancelled", "Attempts cancelled because another attempt of the request was answered first.", h.metrics.hedges.cancelled.Load},
+		{"egretfield.entry.withdrawals", "Attempts withdrawn while they waited at a gate, because another gate would start the request at once.", h.metrics.withdrawals.Load},
 		{"egretfield.entry.lost_connections", "Attempts whose connection to a gate was lost.", h.metrics.lostConnections.Load},
 		{"egretfield.entry.recovered_answers", "Lost answers fetched over a control call.", h.metrics.recoveredAnswers.Load},
 		{"egretfield.entry.unfinished_keys", "Outcomes of keys that their keeper didn't record.", h.metrics.unfinishedKeys.Load},
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -55,6 +55,9 @@
 	if placer == nil || x.handler.options.Offers == nil {
 		return x.balancer.Pick(info)
 	}
+	if endpoint := x.takeWithdrawnTo(placer, info); endpoint != nil {
+		return endpoint, nil
+	}
 	x.home = placer.Home(info, x.call.Fingerprint)
 	local := placer.Local(info, maxOwnRegionGates)
 	firstCount := min(firstOwnRegionGates, len(local))
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -58,7 +58,9 @@
 	retrySlack  float64
 	// hedgePercent limits the hedged attempts of the whole fleet; zero means none.
 	hedgePercent uint32
-	state        *serviceState
+	// withdrawsWaiting reports whether requests that wait at a gate may be withdrawn.
+	withdrawsWaiting bool
+	state            *serviceState
 }
 
 // serviceState is the state of a service that is kept across snapshots.
@@ -159,6 +161,7 @@
 		retryWindow:        time.Duration(policy.GetRetryWindowMs()) * time.Millisecond,
 		retrySlack:         float64(policy.GetRetrySlack()),
 		hedgePercent:       policy.GetHedgePercent(),
+		withdrawsWaiting:   policy.GetWithdrawWaiting(),
 	}
 	if s.maxAttempts == 0 {
 		s.maxAttempts = DefaultMaxAttempts
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -91,7 +91,7 @@
 
 // slotRequestOf returns the slot request of a call.
 func slotRequestOf(call *wire.Call) slotRequest {
-	return slotRequest{class: call.Class, organisation: call.Organisation, route: call.Route, target: call.Target, deadline: call.Deadline, fingerprint: call.Fingerprint}
+	return slotRequest{class: call.Class, organisation: call.Organisation, route: call.Route, target: call.Target, deadline: call.Deadline, attempt: call.Attempt, fingerprint: call.Fingerprint}
 }
 
 // run is a call that holds a slot.
--- a/internal/gate/http.go
+++ b/internal/gate/http.go
@@ -98,6 +98,9 @@
 // MethodAttempt is the control call that queries the state of an attempt.
 const MethodAttempt = RPCName + ".Attempt"
 
+// MethodWithdraw is the control call that withdraws a waiting attempt.
+const MethodWithdraw = RPCName + ".Withdraw"
+
 // RPC serves the control calls of a gate. It is a receiver for net/rpc.
 type RPC struct {
 	Gate *Gate
@@ -114,3 +117,18 @@
 	reply.AnswerKept = reply.Answer != nil
 	return nil
 }
+
+// Withdraw refuses an attempt that waits for a slot. The state of the reply is NOT_RUN if it
+// did, and RUNNING if the attempt doesn't wait. The entry learns from the answer to the
+// attempt itself that it wasn't run.
+func (s RPC) Withdraw(query *pb.AttemptQuery, reply *pb.AttemptReply) error {
+	id, ok := wire.ParseAttemptID(query.AttemptId)
+	if !ok {
+		return errkind.New(pb.ErrorKind_ERROR_KIND_BAD_REQUEST, "malformed attempt id %q: expected origin-number-incarnation in hexadecimal", query.AttemptId)
+	}
+	reply.State = pb.AttemptState_ATTEMPT_STATE_RUNNING
+	if s.Gate.limiter.withdraw(id) {
+		reply.State = pb.AttemptState_ATTEMPT_STATE_NOT_RUN
+	}
+	return nil
+}
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -38,6 +38,9 @@
 	serviceTimes    admission.ServiceTimes
 	// resolutions receive 0 when the slot is granted, or the kind of the refusal.
 	resolutions map[*admission.Ticket]chan errkind.Kind
+	// waiting has the tickets of the attempts that were queued and haven't seen their
+	// resolution yet.
+	waiting     map[wire.AttemptID]*admission.Ticket
 	slowdowns   admission.SlowdownTracker
 	failureRate float64 // moving average, 0 to 1
 	// coldRefusals counts the refusals of requests for which a slot was free, but not the
@@ -53,7 +56,7 @@
 }
 
 func newLimiter() *limiter {
-	return &limiter{queuePercent: defaultQueuePercent, resolutions: make(map[*admission.Ticket]chan errkind.Kind)}
+	return &limiter{queuePercent: defaultQueuePercent, resolutions: make(map[*admission.Ticket]chan errkind.Kind), waiting: make(map[wire.AttemptID]*admission.Ticket)}
 }
 
 // configure sets the number of slots of a new server and grants free ones to waiting
@@ -203,6 +206,8 @@
 	route        string
 	target       time.Time
 	deadline     time.Time
+	// attempt identifies the attempt that needs the slot.
+	attempt wire.AttemptID
 	// fingerprint is equal for a request and its return after a refusal.
 	fingerprint uint64
 }
@@ -215,6 +220,7 @@
 	if ticket == nil {
 		return at, kind
 	}
+	defer l.forget(s.attempt)
 	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
 	select {
@@ -227,6 +233,26 @@
 	}
 }
 
+// forget forgets the ticket of an attempt that has its resolution.
+func (l *limiter) forget(attempt wire.AttemptID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, attempt)
+}
+
+// withdraw refuses an attempt that waits in the queue. It reports whether it did.
+func (l *limiter) withdraw(attempt wire.AttemptID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ticket := l.waiting[attempt]
+	if ticket == nil || !l.queue.Cancel(ticket) {
+		return false
+	}
+	l.resolveLocked(ticket, pb.ErrorKind_ERROR_KIND_NOT_READY)
+	l.signalIdleLocked()
+	return true
+}
+
 // expiredKind returns the kind of the refusal of a request that waited until its
 // latest start.
 func expiredKind(deadline time.Time) errkind.Kind {
@@ -266,6 +292,7 @@
 		return nil, nil, time.Time{}, pb.ErrorKind_ERROR_KIND_OVERLOADED
 	}
 	l.resolutions[queued] = make(chan errkind.Kind, 1)
+	l.waiting[s.attempt] = queued
 	l.notifyDelayedLocked()
 	return queued, l.resolutions[queued], queued.LatestStart(), 0
 }
--- a/internal/gate/limiter_test.go
+++ b/internal/gate/limiter_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +14,7 @@
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/standin/virtualtime"
+	"github.com/egretfield/egretfield/internal/wire"
 )
 
 const (
@@ -167,3 +171,51 @@
 		return false
 	}
 }
+
+// TestWithdraw guards against an attempt that is certified as withdrawn and runs all the
+// same, and against slots lost when attempts are withdrawn while slots become free.
+func TestWithdraw(t *testing.T) {
+	const attempts = 200
+	l := newLimiter()
+	l.configure(2, false)
+	l.setQueuePercent(100 * attempts)
+	var withdrawn, ran, both, runsNow, most atomic.Int64
+	var group sync.WaitGroup
+	_, _ = l.acquire(context.Background(), slotRequest{deadline: time.Now().Add(time.Minute)})
+	for i := range attempts {
+		id := wire.AttemptID{Origin: 1, Number: uint64(i)}
+		s := slotRequest{attempt: id, deadline: time.Now().Add(time.Minute)}
+		var ended atomic.Bool
+		group.Go(func() {
+			defer ended.Store(true)
+			_, kind := l.acquire(context.Background(), s)
+			if kind == 0 {
+				most.Store(max(most.Load(), runsNow.Add(1)))
+				ran.Add(1)
+				runtime.Gosched()
+				if l.withdraw(id) {
+					both.Add(1)
+				}
+				runsNow.Add(-1)
+				l.release(runResult{})
+			}
+		})
+		group.Go(func() {
+			for i%2 == 0 && !ended.Load() {
+				if l.withdraw(id) {
+					withdrawn.Add(1)
+				}
+				runtime.Gosched()
+			}
+		})
+	}
+	l.release(runResult{})
+	group.Wait()
+	Convey("Each attempt runs or is withdrawn, within the slots, and nothing is left", t, func() {
+		So(ran.Load()+withdrawn.Load(), ShouldEqual, attempts)
+		So(withdrawn.Load(), ShouldBeGreaterThan, 0)
+		So(both.Load(), ShouldEqual, 0)
+		So(most.Load(), ShouldBeLessThanOrEqualTo, 2)
+		So(l.queue.Running()+l.queue.Waiting()+len(l.waiting)+len(l.resolutions), ShouldEqual, 0)
+	})
+}
