offer: offers for placed requests are dropped first, too

The offers that answer them had the class of ordinary offers, and would displace the questions of the answering node, which have a lower one.

Change: the question says that it is extra (OfferQuestion.extra), and its offer gets the same class. WaitLimits.IsExtra is gone.

Tests: the case of TestAsk now covers both directions. With -race: offer, entry, node, quota and budget pass. The effect under load isn't measured.

--- a/internal/entry/hedging.go
+++ b/internal/entry/hedging.go
@@ -249,7 +249,7 @@
 	}()
 	endpoints := placer.Local(x.pickInfo(), maxHedgeGates+1)
 	endpoints = slices.DeleteFunc(endpoints, func(e *balance.Endpoint) bool { return e.Instance == first.endpoint.Instance })
-	offers := x.askGates(ctx, endpoints[:min(maxHedgeGates, len(endpoints))], extraWaitLimits)
+	offers := x.askExtra(ctx, endpoints[:min(maxHedgeGates, len(endpoints))])
 	return hedge.Choose(offers, x.handler.options.Region, first.endpoint.Instance, time.Until(x.call.Deadline))
 }
 
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -36,10 +36,6 @@
 	// ownRegionWaitLimits suit data centres of one region, a few milliseconds apart, with
 	// gates on machines with a fraction of a core.
 	ownRegionWaitLimits = offer.WaitLimits{SettleAfter: 8 * time.Millisecond, GiveUpAfter: 30 * time.Millisecond}
-	// extraWaitLimits are for requests whose first attempt was sent already: hedged attempts
-	// and withdrawals. Close to the capacity these questions would otherwise outnumber those
-	// for first attempts.
-	extraWaitLimits = offer.WaitLimits{SettleAfter: ownRegionWaitLimits.SettleAfter, GiveUpAfter: ownRegionWaitLimits.GiveUpAfter, IsExtra: true}
 	// otherRegionWaitLimits suit regions some tens of milliseconds apart.
 	otherRegionWaitLimits = offer.WaitLimits{SettleAfter: 60 * time.Millisecond, GiveUpAfter: 120 * time.Millisecond}
 )
@@ -152,6 +148,19 @@
 // askGates asks the gates of the endpoints for offers. It ignores offers of another
 // incarnation of an endpoint.
 func (x *exchange) askGates(ctx context.Context, endpoints []*balance.Endpoint, limits offer.WaitLimits) []balance.EndpointOffer {
+	return x.ask(ctx, endpoints, x.offerQuestion(), limits)
+}
+
+// askExtra asks gates of the own region for a request whose first attempt was sent already:
+// for a hedged attempt or a withdrawal. Close to the capacity these questions would otherwise
+// outnumber those for first attempts.
+func (x *exchange) askExtra(ctx context.Context, endpoints []*balance.Endpoint) []balance.EndpointOffer {
+	question := x.offerQuestion()
+	question.Extra = true
+	return x.ask(ctx, endpoints, question, ownRegionWaitLimits)
+}
+
+func (x *exchange) ask(ctx context.Context, endpoints []*balance.Endpoint, question *pb.OfferQuestion, limits offer.WaitLimits) []balance.EndpointOffer {
 	if len(endpoints) == 0 {
 		return nil
 	}
@@ -159,7 +168,7 @@
 	for i, endpoint := range endpoints {
 		addresses[i] = endpoint.ControlAddress
 	}
-	replies := x.handler.options.Offers.Ask(ctx, addresses, x.offerQuestion(), limits)
+	replies := x.handler.options.Offers.Ask(ctx, addresses, question, limits)
 	offers := make([]balance.EndpointOffer, 0, len(replies))
 	for i, reply := range replies {
 		if reply.Offer == nil || reply.Offer.GetIncarnation() != endpoints[i].Incarnation {
--- a/internal/entry/withdrawal.go
+++ b/internal/entry/withdrawal.go
@@ -68,7 +68,7 @@
 		if !delay.Sleep(ctx, firstWithdrawalCheck<<check) {
 			return nil
 		}
-		offers := x.askGates(ctx, placer.Local(x.pickInfo(), maxWithdrawalGates), extraWaitLimits)
+		offers := x.askExtra(ctx, placer.Local(x.pickInfo(), maxWithdrawalGates))
 		chosen := hedge.Choose(offers, x.handler.options.Region, endpoint.Instance, time.Until(x.call.Deadline))
 		if chosen == nil {
 			continue
--- a/internal/offer/exchange.go
+++ b/internal/offer/exchange.go
@@ -56,16 +56,16 @@
 	SettleAfter time.Duration
 	// GiveUpAfter is the time after which the entry stops waiting even without an offer.
 	GiveUpAfter time.Duration
-	// IsExtra reports whether the request is placed already, so that the questions are
-	// dropped before others.
-	IsExtra bool
 }
 
-func (l *WaitLimits) class() budget.Class {
-	if l.IsExtra {
+// classOf returns the class of a question, or of its offer if the question is an ordinary
+// one of that class. Offers for extra questions are extra, too: else they would displace
+// the questions of the gate's own node.
+func classOf(question *pb.OfferQuestion, ordinary budget.Class) budget.Class {
+	if question.GetExtra() {
 		return budget.ClassExtra
 	}
-	return budget.ClassProbe
+	return ordinary
 }
 
 // Reply is the result of a question.
@@ -206,7 +206,7 @@
 		defer cancel()
 		offer := e.answer(ctx, question)
 		message := &pb.OfferMessage{Number: number, Content: &pb.OfferMessage_Offer{Offer: offer}}
-		if e.send(to, budget.ClassReport, message) {
+		if e.send(to, classOf(question, budget.ClassReport), message) {
 			e.stats.Offers.Add(1)
 		}
 	}()
@@ -250,7 +250,7 @@
 	startedAt := time.Now()
 	sent := 0
 	for i, address := range addresses {
-		if e.question(ctx, address, first+uint64(i), question, limits.class()) {
+		if e.question(ctx, address, first+uint64(i), question) {
 			sent++
 		}
 	}
@@ -296,7 +296,7 @@
 
 // question sends one question and reports whether it was sent. This node's own gate
 // is asked directly.
-func (e *Exchange) question(ctx context.Context, address string, number uint64, question *pb.OfferQuestion, class budget.Class) bool {
+func (e *Exchange) question(ctx context.Context, address string, number uint64, question *pb.OfferQuestion) bool {
 	if address == e.ownAddress {
 		go func() { e.deliver(number, e.answer(ctx, question)) }()
 		return true
@@ -307,7 +307,7 @@
 		return false
 	}
 	message := &pb.OfferMessage{Number: number, Content: &pb.OfferMessage_Question{Question: question}}
-	if !e.send(net.UDPAddrFromAddrPort(to), class, message) {
+	if !e.send(net.UDPAddrFromAddrPort(to), classOf(question, budget.ClassProbe), message) {
 		return false
 	}
 	e.stats.Questions.Add(1)
--- a/internal/offer/exchange_test.go
+++ b/internal/offer/exchange_test.go
@@ -106,13 +106,18 @@
 		So(ask(a.ownAddress)[0].Offer, ShouldBeNil)
 		So(time.Since(begun), ShouldBeLessThan, testWaitLimits.SettleAfter)
 	})
-	Convey("Questions for requests that are placed already are dropped before others", t, func() {
-		entry.allow = func(class budget.Class, _ int) bool { return class > budget.ClassExtra }
-		defer func() { entry.allow = allowAll }()
-		extra := testWaitLimits
-		extra.IsExtra = true
-		So(entry.Ask(context.Background(), []string{a.ownAddress}, question, extra)[0].Offer, ShouldBeNil)
-		So(ask(a.ownAddress)[0].Offer, ShouldNotBeNil)
+	Convey("Questions for requests that are placed already are dropped before others, and so are offers for them", t, func() {
+		extra := &pb.OfferQuestion{Service: "s", Extra: true}
+		busy := newExchange(t, key, answerWithWait(1))
+		busy.allow = func(class budget.Class, _ int) bool { return class > budget.ClassExtra }
+		serveExchange(t, busy)
+		offer := func(from, to *Exchange, q *pb.OfferQuestion) *pb.Offer {
+			return from.Ask(context.Background(), []string{to.ownAddress}, q, testWaitLimits)[0].Offer
+		}
+		So(offer(busy, a, extra), ShouldBeNil)
+		So(offer(busy, a, question), ShouldNotBeNil)
+		So(offer(a, busy, extra), ShouldBeNil)
+		So(offer(a, busy, question), ShouldNotBeNil)
 	})
 	Convey("An offer that arrives after the wait is dropped", t, func() {
 		slow := startExchange(t, key, func(context.Context, *pb.OfferQuestion) *pb.Offer {
