--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -87,14 +87,19 @@
 }
 
 // aheadOfPlace returns the number of waiting requests of other organisations that go before
-// a request with that many of its own organisation running or before it. Those with as many
-// count, since they came earlier.
-func (s *shares) aheadOfPlace(r *Request, place int) int {
+// a request with place requests of its own organisation running or before it: all that an
+// organisation may start before it has as many running by its weight, and of those that it
+// starts with as many running the ones that precede the request in the queue's order.
+func (s *shares) aheadOfPlace(r *Request, place int, preceding map[string]int) int {
 	ahead, round := 0, place/s.weight(r.Organisation)
 	for key, held := range s.byKey {
-		if key.class == r.Class && key.organisation != r.Organisation {
-			ahead += min(max((round+1)*s.weight(key.organisation)-held.running, 0), held.waiting)
+		if key.class != r.Class || key.organisation == r.Organisation || held.waiting == 0 {
+			continue
 		}
+		weight := s.weight(key.organisation)
+		fewer := max(round*weight-held.running, 0)
+		asMany := max((round+1)*weight-max(held.running, round*weight), 0)
+		ahead += min(fewer+min(asMany, preceding[key.organisation]), held.waiting)
 	}
 	return ahead
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/errkind"
+	"github.com/egretfield/egretfield/internal/once"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/wire"
@@ -41,7 +42,8 @@
 	expectsContinue bool   // the caller sent an Expect header and waits for 100 Continue
 	key             string // idempotency key; empty if there is none
 	maxBodyBytes    int64
-	firstSend       bool // the caller states that it never sent the key before
+	keyInUse        once.Key // the idempotency key, while its grant is held
+	firstSend       bool     // the caller states that it never sent the key before
 	reservedBytes   int64
 	// regionsAtArrival are the allowed regions when the request arrived.
 	regionsAtArrival *balance.RegionRules
@@ -82,6 +84,9 @@
 	// uncertain is the answer of the latest attempt that may have run and was
 	// retried; nil if there was none.
 	uncertain *wire.Answer
+	// inspection records a decision that isn't followed by a request; nil for a caller's
+	// request.
+	inspection *inspection
 	// pending is the result of the last attempt until it is reported to the balancer.
 	pending balance.Result
 	// cancel ends the attempts' context, on which the body of the answer depends; nil if
@@ -118,7 +123,7 @@
 func (x *exchange) serve() {
 	x.balancer = x.handler.options.BalancerFor(x.service.name)
 	if x.balancer == nil {
-		x.writeAnswer(wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NO_SERVER, "no backend server of the service is known yet"))
+		x.writeAnswer(noBalancer())
 		return
 	}
 	if x.handler.usesGuard(x) {
@@ -128,6 +133,11 @@
 	x.writeAnswer(x.runUntilStopped())
 }
 
+// noBalancer returns the refusal of a request for a service without a balancer.
+func noBalancer() *wire.Answer {
+	return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_NO_SERVER, "no backend server of the service is known yet")
+}
+
 // errStopped is the cause with which a request's context ends when the node's stop leaves
 // no more time.
 var errStopped = errors.New("the node is stopping")
@@ -177,9 +187,7 @@
 			if last != nil && errkind.KindOf(err) != pb.ErrorKind_ERROR_KIND_UNAUTHENTICATED {
 				return last
 			}
-			refusal := errorAnswer(err)
-			refusal.RetryAfter = x.retryAfter
-			return refusal
+			return x.selectionRefusal(err)
 		}
 		if refusal := x.awaitQuota(ctx); refusal != nil {
 			return refusal
@@ -201,6 +209,13 @@
 	}
 }
 
+// selectionRefusal returns the refusal of a request for which no endpoint was selected.
+func (x *exchange) selectionRefusal(err error) *wire.Answer {
+	refusal := errorAnswer(err)
+	refusal.RetryAfter = x.retryAfter
+	return refusal
+}
+
 // nextEndpoint selects the endpoint of the next attempt. It fails when the deadline
 // has passed or when only endpoints are left that refused the request.
 func (x *exchange) nextEndpoint(ctx context.Context, last *wire.Answer) (*balance.Endpoint, error) {
@@ -302,7 +317,7 @@
 // only for idempotent requests that aren't nested in a call chain. It takes from the
 // retry budget where the attempt counts as a retry.
 func (x *exchange) shouldRetry(ctx context.Context, answer *wire.Answer) bool {
-	if ctx.Err() != nil || (x.streamedBody != nil && x.streamedBody.readStarted.Load()) {
+	if ctx.Err() != nil || x.bodyStarted() {
 		return false
 	}
 	if isRetryableRefusal(answer) {
@@ -321,6 +336,12 @@
 	return x.failures <= maxFailures && x.service.state.budget.Take()
 }
 
+// bodyStarted reports whether a body that is streamed has begun to be sent on, so that it
+// can't be sent again.
+func (x *exchange) bodyStarted() bool {
+	return x.streamedBody != nil && x.streamedBody.readStarted.Load()
+}
+
 // retryTimeDivisor sets the time that must remain before the deadline for a retry:
 // the failed attempt's latency divided by it. A retry with less time hardly ever
 // succeeds and takes a slot and a part of the retry budget from other requests.
--- a/internal/hedge/target_test.go
+++ b/internal/hedge/target_test.go
@@ -250,7 +250,7 @@
 		return
 	}
 	s.end(a)
-	a.server.times.Add("", s.now-a.startedAt, a.factor)
+	a.server.times.Add(s.clock(), "", s.now-a.startedAt, a.factor)
 	r := a.request
 	r.answered = true
 	first := r.attempts[0]
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -189,6 +190,10 @@
 		reply.Key = s.keyFacts(request)
 		return reply
 	}
+	if request.GetOrganisation() != "" {
+		reply.CapOwners = s.capOwners(request.GetOrganisation())
+		return reply
+	}
 	for _, m := range s.node.members.View().Members {
 		if isAbout(request, m) {
 			reply.Endpoints = append(reply.Endpoints, s.endpointFacts(m))
@@ -200,6 +205,22 @@
 	return reply
 }
 
+// capOwners lists the owners of the parts of an organisation's usage cap by region.
+func (s *status) capOwners(organisation string) []*pb.CapOwner {
+	var owners []*pb.CapOwner
+	for region, address := range s.node.quota.Owners(organisation) {
+		owner := &pb.CapOwner{Region: region}
+		for _, m := range s.node.members.View().Members {
+			if m.GetRegion() == region && m.GetControlAddress() == address && isLive(m) {
+				owner.Instance = m.GetInstance()
+			}
+		}
+		owners = append(owners, owner)
+	}
+	slices.SortFunc(owners, func(a, b *pb.CapOwner) int { return strings.Compare(a.GetRegion(), b.GetRegion()) })
+	return owners
+}
+
 // keyFacts explains a key of the service named in the request, or else of the first
 // configured service whose keeper has seen it.
 func (s *status) keyFacts(request *pb.ExplainRequest) *pb.KeyFacts {
@@ -212,7 +233,7 @@
 	var facts *pb.KeyFacts
 	for _, service := range s.node.follower.Current().GetConfig().GetServices() {
 		facts = s.node.keeper.Explain(once.Key{Service: service.GetName(), Value: request.GetKey()})
-		if facts.GetState() != pb.RunState_RUN_STATE_NO {
+		if facts.GetState() != pb.RunState_RUN_STATE_NO || len(facts.GetOthers()) > 0 {
 			return facts
 		}
 	}
@@ -242,28 +263,35 @@
 
 // endpointFacts combines what the membership and the balancer know about a member.
 func (s *status) endpointFacts(m *pb.Member) *pb.EndpointFacts {
-	facts := &pb.EndpointFacts{Member: proto.CloneOf(m)}
+	facts := &pb.EndpointFacts{Member: proto.CloneOf(m), Reasons: memberReasons(s.node.follower.Current(), m)}
+	for _, known := range s.facts(m.GetService()) {
+		if known.Endpoint.Instance == m.GetInstance() {
+			addBalancerFacts(facts, known)
+		}
+	}
+	return facts
+}
+
+// memberReasons returns why a member gets no work, or less, by the membership and the
+// configuration in force.
+func memberReasons(state *pb.ConfigState, m *pb.Member) []string {
+	var reasons []string
 	switch m.GetStatus() {
 	case pb.MemberStatus_MEMBER_STATUS_ALIVE:
 	case pb.MemberStatus_MEMBER_STATUS_SUSPECT:
-		facts.Reasons = append(facts.Reasons, "suspect")
+		reasons = append(reasons, "suspect")
 	case pb.MemberStatus_MEMBER_STATUS_DRAINING:
-		facts.Reasons = append(facts.Reasons, "draining")
+		reasons = append(reasons, "draining")
 	default:
-		facts.Reasons = append(facts.Reasons, "unreachable")
-	}
-	if isDraining(s.node.follower.Current(), m.GetInstance()) {
-		facts.Reasons = append(facts.Reasons, "drained by an operator")
+		reasons = append(reasons, "unreachable")
 	}
-	if slices.Contains(configlog.Evacuated(s.node.follower.Current()), m.GetDataCentre()) {
-		facts.Reasons = append(facts.Reasons, "data centre evacuated")
+	if isDraining(state, m.GetInstance()) {
+		reasons = append(reasons, "drained by an operator")
 	}
-	for _, known := range s.facts(m.GetService()) {
-		if known.Endpoint.Instance == m.GetInstance() {
-			addBalancerFacts(facts, known)
-		}
+	if slices.Contains(configlog.Evacuated(state), m.GetDataCentre()) {
+		reasons = append(reasons, "data centre evacuated")
 	}
-	return facts
+	return reasons
 }
 
 // addBalancerFacts adds a balancer's facts about an endpoint to its explanation.
