wire: reuse idle connections after the read deadline of their last request

Cause: the read deadline of a request stays set on its idle connection. The check before a reuse read from the raw connection, which fails once that deadline has passed, so a connection idle past the silence timeout (1 s between nodes) or past the deadline of its last request (gate to server) was closed and dialed again. In entry.TestSilentConnections, whose silence timeout is 20 ms, a request on a busy machine therefore took a new connection instead of the one that drops everything: a trace of two processes of 36 to 40 runs beside eight busy processes showed an idle connection found unusable 14 and 41 ms after its last use before failures of that kind.

Change: the check uses RawConn.Control, which ignores deadlines.

The new case of TestClient counts 2 connections instead of 1 without the change.

--- a/internal/wire/client_test.go
+++ b/internal/wire/client_test.go
@@ -61,8 +61,9 @@
 		defer server.Close()
 		addr := server.Listener.Addr().String()
 		c := NewClient(ClientOptions{})
+		wait := func(context.Context, time.Duration, bool) Verdict { return VerdictWait }
 		get := func() {
-			answer, err := c.Do(ctx, SendParams{Addr: addr, Call: testCall()})
+			answer, err := c.Do(ctx, SendParams{Addr: addr, Call: testCall(), Check: wait})
 			So(err, ShouldBeNil)
 			body, err := io.ReadAll(answer.Body)
 			So(err, ShouldBeNil)
@@ -73,6 +74,13 @@
 			get()
 			So(conns.Load(), ShouldEqual, 1)
 		})
+		Convey("an idle connection is reused after the wait for its last answer would have ended", func() {
+			c = NewClient(ClientOptions{SilenceTimeout: time.Millisecond})
+			get()
+			time.Sleep(maxSilenceFactor * 10 * time.Millisecond)
+			get()
+			So(conns.Load(), ShouldEqual, 1)
+		})
 		Convey("an idle connection that the peer has closed isn't reused", func() {
 			get()
 			server.CloseClientConnections()
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -42,7 +42,7 @@
 	pool *pool
 	raw  syscall.RawConn // nil if the connection gives no access to its socket
 	// peek is the method value peekSocket, made only once.
-	peek         func(fd uintptr) bool
+	peek         func(fd uintptr)
 	openAndEmpty bool // result of peekSocket
 	limitedInput boundedReader
 	reader       *bufio.Reader
@@ -163,15 +163,14 @@
 		return true
 	}
 	c.openAndEmpty = false
-	err := c.raw.Read(c.peek)
+	// Not c.raw.Read, which fails once the read deadline of the last request has passed.
+	err := c.raw.Control(c.peek)
 	return err == nil && c.openAndEmpty
 }
 
-// peekSocket sets openAndEmpty to whether the socket is open and has no bytes to read. It
-// returns true, so that the runtime's poller doesn't wait.
-func (c *conn) peekSocket(fd uintptr) bool {
+// peekSocket sets openAndEmpty to whether the socket is open and has no bytes to read.
+func (c *conn) peekSocket(fd uintptr) {
 	c.openAndEmpty = isOpenAndEmpty(fd)
-	return true
 }
 
 // SocketOf returns the connection below TLS, or nc itself without TLS.
