entry: wait for an answer in transit when the gate says the attempt has ended

Cause, the second one of the failures of entry.TestSilentConnections: the entry asks the gate for the state of an attempt whose connection is silent. If the attempt ended just then, its answer was in transit, but the entry gave the connection up.

Change: when the attempt has ended and its answer isn't kept, the entry waits 200 ms more for the first byte (ClientOptions.AnswerGrace).

TestAnswerInTransit orders the events explicitly and counts 2 runs instead of 1 without the change. TestSilentConnections sets the wait to 10 s, so that its result doesn't depend on pauses of the machine; its checks are unchanged.

--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -49,7 +49,9 @@
 
 // checkConnection asks the gate for the state of an attempt whose connection is
 // silent. If the gate doesn't reply, only an idempotent request gives the connection
-// up. If the gate can't be asked, the attempt waits on.
+// up. If the gate can't be asked, the attempt waits on. An attempt that has ended may have
+// its answer in transit: giving it up at once would run an idempotent request again, and
+// lose the answer to any other.
 func (a *remoteAttempt) checkConnection(ctx context.Context, _ time.Duration, _ bool) wire.Verdict {
 	for range maxQueryFailures {
 		reply, err := a.query(ctx)
@@ -62,6 +64,9 @@
 			return wire.VerdictWait
 		}
 		a.reply = reply
+		if reply.State == pb.AttemptState_ATTEMPT_STATE_DONE && !reply.AnswerKept {
+			return wire.VerdictAnswered
+		}
 		return wire.VerdictBroken
 	}
 	if a.call.Idempotent {
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -1,24 +1,37 @@
 package entry_test
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/entry"
+	"github.com/egretfield/egretfield/internal/peer"
 	"github.com/egretfield/egretfield/internal/standin/relay"
 )
 
 const silenceTimeout = 20 * time.Millisecond
 
+// answerGrace is longer than any pause of a busy machine, so that no answer that was sent
+// is given up.
+const answerGrace = 10 * time.Second
+
+// silenceOptions makes an entry check silent connections soon.
+func silenceOptions(o *entry.Options) {
+	o.ClientOptions.SilenceTimeout, o.ClientOptions.AnswerGrace = silenceTimeout, answerGrace
+}
+
 func TestSilentConnections(t *testing.T) {
 	Convey("Given a link to the gate that silently drops established connections", t, func() {
 		a := &countingServer{answer: echo}
-		c := newCluster(func(o *entry.Options) { o.ClientOptions.SilenceTimeout = silenceTimeout }, a)
+		c := newCluster(silenceOptions, a)
 		gateAddress := c.balancer.endpoints[0].GateAddress
 		p, err := relay.New("127.0.0.1:0", func() string { return gateAddress })
 		So(err, ShouldBeNil)
@@ -98,6 +111,45 @@
 	})
 }
 
+// heldQueries holds a control call until hold returns.
+type heldQueries struct {
+	peer.Client
+	hold func()
+}
+
+func (q heldQueries) Call(ctx context.Context, addr, method string, args, reply proto.Message) error {
+	q.hold()
+	return q.Client.Call(ctx, addr, method, args, reply)
+}
+
+// Guards against an entry that gives up a connection because the gate says that the attempt
+// has ended, while the answer is in transit: an idempotent request ran a second time.
+func TestAnswerInTransit(t *testing.T) {
+	Convey("A request whose attempt ends while the entry asks for its state runs once", t, func() {
+		running, asked := make(chan struct{}), make(chan struct{})
+		var start, ask sync.Once
+		a := &countingServer{answer: func(w http.ResponseWriter, r *http.Request) {
+			start.Do(func() { close(running) })
+			<-asked
+			echo(w, r)
+		}}
+		var c *cluster
+		c = newCluster(func(o *entry.Options) {
+			silenceOptions(o)
+			o.ControlClient = heldQueries{o.ControlClient, func() {
+				<-running
+				ask.Do(func() { close(asked) })
+				<-c.gates[0].Idle()
+			}}
+		}, a)
+		defer c.close()
+		resp, body := c.do("GET", "/svc/orders/x", "")
+		So(resp.StatusCode, ShouldEqual, 200)
+		So(body, ShouldEqual, "GET /x ")
+		So(a.runs.Load(), ShouldEqual, 1)
+	})
+}
+
 func TestMismatch(t *testing.T) {
 	Convey("An answer with another attempt's id never reaches the caller", t, func() {
 		a := &countingServer{answer: echo}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -15,10 +15,13 @@
 
 // Default values of ClientOptions.
 const (
-	DefaultDialTimeout     = time.Second
-	DefaultIdleTimeout     = 30 * time.Second
-	DefaultMaxIdle         = 64
-	DefaultSilenceTimeout  = time.Second
+	DefaultDialTimeout    = time.Second
+	DefaultIdleTimeout    = 30 * time.Second
+	DefaultMaxIdle        = 64
+	DefaultSilenceTimeout = time.Second
+	// DefaultAnswerGrace is longer than the round trip between regions and the pauses of a
+	// busy machine.
+	DefaultAnswerGrace     = 200 * time.Millisecond
 	DefaultProgressTimeout = 20 * time.Second
 )
 
@@ -36,6 +39,9 @@
 	// SilenceTimeout is the wait for the first byte of an answer after which the
 	// connection is checked. The checks are repeated at growing intervals.
 	SilenceTimeout time.Duration
+	// AnswerGrace is how long an answer may be in transit after the peer has said that the
+	// request has ended.
+	AnswerGrace time.Duration
 	// ProgressTimeout is the time without progress after which the transfer of a body is
 	// aborted.
 	ProgressTimeout time.Duration
@@ -74,6 +80,7 @@
 	defaults.Set(&options.IdleTimeout, DefaultIdleTimeout)
 	defaults.Set(&options.MaxIdle, DefaultMaxIdle)
 	defaults.Set(&options.SilenceTimeout, DefaultSilenceTimeout)
+	defaults.Set(&options.AnswerGrace, DefaultAnswerGrace)
 	defaults.Set(&options.ProgressTimeout, DefaultProgressTimeout)
 	if options.Headers == nil {
 		options.Headers = DefaultHeaders()
@@ -94,6 +101,9 @@
 	// VerdictBroken means that the connection is taken for broken, although the peer may be
 	// alive.
 	VerdictBroken
+	// VerdictAnswered means that the peer has ended the request: the connection is taken for
+	// broken unless the answer arrives within ClientOptions.AnswerGrace.
+	VerdictAnswered
 )
 
 // Check is called when no byte of the answer has arrived for
@@ -106,7 +116,7 @@
 type SendError struct {
 	// Sent reports whether the peer may have received the request.
 	Sent bool
-	// Silent reports whether a Check returned VerdictBroken.
+	// Silent reports whether the connection was taken for broken because of a Check.
 	Silent bool
 	cause  error
 }
@@ -121,7 +131,7 @@
 	return e.cause
 }
 
-// errSilent is returned when a Check returned VerdictBroken.
+// errSilent is returned when the connection is taken for broken because of a Check.
 var errSilent = eris.New("connection taken for broken: no answer received")
 
 // SendParams holds a call and how to send it.
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -224,13 +224,34 @@
 		if !IsTimeout(err) || x.conn.aborted.Load() || !time.Now().Before(deadline) {
 			return eris.Wrap(unexpected(err), "await answer")
 		}
-		if x.params.Check(ctx, time.Since(x.startedAt), x.conn.reused) == VerdictBroken {
+		switch x.params.Check(ctx, time.Since(x.startedAt), x.conn.reused) {
+		case VerdictBroken:
 			return errSilent
+		case VerdictAnswered:
+			return x.awaitSentAnswer()
 		}
 		silence = min(2*silence, maxSilenceFactor*x.client.options.SilenceTimeout)
 	}
 }
 
+// awaitSentAnswer waits for the first byte of an answer that the peer has sent.
+func (x *exchange) awaitSentAnswer() error {
+	if err := x.conn.SetReadDeadline(earlier(x.params.Call.Deadline, time.Now().Add(x.client.options.AnswerGrace))); err != nil {
+		return eris.Wrap(err, "set deadline")
+	}
+	if x.conn.aborted.Load() {
+		return eris.New("cancelled")
+	}
+	_, err := x.conn.reader.Peek(1)
+	if err == nil {
+		return nil
+	}
+	if !IsTimeout(err) || x.conn.aborted.Load() {
+		return eris.Wrap(unexpected(err), "await answer")
+	}
+	return errSilent
+}
+
 // setWaitDeadline sets the read deadline for the next byte: after silence if there is a
 // Check, otherwise the deadline of the call.
 func (x *exchange) setWaitDeadline(silence time.Duration) error {
