egretctl: escape what callers put into the output

Cause: the entry kept the decoded path of a request, and egretctl printed it as it was. A caller of /a%0Aentry%20of%20other%1b%5B2J/ could add a line to the output of egretctl where -request, or send the operator's terminal an escape sequence. egretctl explain quarantine printed the path of a quarantined request in the same way.

Change: the entry keeps URL.EscapedPath(). Every line and table cell of egretctl has characters that aren't printable escaped, also those of JSON that JSON itself lets pass (C1 controls, directional marks).

--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
+	"unicode/utf16"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
@@ -28,7 +31,41 @@
 		return nil, err
 	}
 	indented.WriteByte('\n')
-	return indented.Bytes(), nil
+	return escapeInJSON(indented.Bytes()), nil
+}
+
+// escapeInJSON escapes the characters outside ASCII that aren't printable, which JSON
+// allows in strings.
+func escapeInJSON(data []byte) []byte {
+	escaped := make([]byte, 0, len(data))
+	for _, r := range string(data) {
+		if r < utf8.RuneSelf || strconv.IsPrint(r) {
+			escaped = utf8.AppendRune(escaped, r)
+			continue
+		}
+		for _, unit := range utf16.Encode([]rune{r}) {
+			escaped = fmt.Appendf(escaped, `\u%04x`, unit)
+		}
+	}
+	return escaped
+}
+
+// printable returns the text with the characters that aren't printable escaped as in Go
+// strings. Texts of callers, such as the path of a request, could otherwise add lines to
+// the output or control the operator's terminal.
+func printable(text string) string {
+	var b strings.Builder
+	for len(text) > 0 {
+		r, size := utf8.DecodeRuneInString(text)
+		if strconv.IsPrint(r) && (r != utf8.RuneError || size > 1) {
+			b.WriteString(text[:size])
+		} else {
+			quoted := strconv.Quote(text[:size])
+			b.WriteString(quoted[1 : len(quoted)-1])
+		}
+		text = text[size:]
+	}
+	return b.String()
 }
 
 func (s *session) printJSON(message proto.Message) error {
@@ -41,18 +78,23 @@
 }
 
 // printTable prints rows in aligned columns under a header, whose columns are separated
-// by " | ".
+// by " | ". Characters that aren't printable are escaped.
 func (s *session) printTable(header string, rows [][]string) {
 	w := tabwriter.NewWriter(s.env.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, strings.ReplaceAll(header, " | ", "\t"))
 	for _, row := range rows {
-		fmt.Fprintln(w, strings.Join(row, "\t"))
+		cells := make([]string, len(row))
+		for i, cell := range row {
+			cells[i] = printable(cell)
+		}
+		fmt.Fprintln(w, strings.Join(cells, "\t"))
 	}
 	_ = w.Flush()
 }
 
+// printf prints one line. Characters that aren't printable are escaped.
 func (s *session) printf(format string, args ...any) {
-	fmt.Fprintf(s.env.Stdout, format+"\n", args...)
+	fmt.Fprintln(s.env.Stdout, printable(fmt.Sprintf(format, args...)))
 }
 
 // printAccepted prints an accepted change and where it is in force. p is nil if no node
--- a/internal/ctl/where_test.go
+++ b/internal/ctl/where_test.go
@@ -92,8 +92,11 @@
 }
 
 // send sends a request with an id, and an API key unless it is empty, to the entry.
-func (s *testFleet) send(id, host, key string) {
-	request := httptest.NewRequest(http.MethodGet, "/pages?q=1", nil)
+func (s *testFleet) send(id, host, key string) { s.sendTo("/pages?q=1", id, host, key) }
+
+// sendTo is send with the path and query of the request.
+func (s *testFleet) sendTo(target, id, host, key string) {
+	request := httptest.NewRequest(http.MethodGet, target, nil)
 	request.Host = host
 	request.Header.Set(wire.HeaderRequestID, id)
 	if key != "" {
@@ -131,8 +134,10 @@
 		s.send("r1", "shop.example", "secret-1")
 		s.send("r2", "shop.example", "")
 		s.send("r2", "mixed.example", "secret-2")
+		s.sendTo("/a%0Aentry%20of%20other%1b%5B2J/", "r3", "shop.example", "secret-1")
 		s.run("where -request r1")
 		s.run("where -request r2")
+		s.run("where -request r3")
 		s.run("where -request r1 -o json")
 		s.run("where -request r1 -node orders-3")
 		s.log.SetFaults(&pb.LogFaults{Down: true}) // the log isn't needed
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -79,7 +79,7 @@
 func (x *exchange) record(answer *wire.Answer) *pb.WhereRecord {
 	record := &pb.WhereRecord{
 		RequestId: x.requestID, TimeUnixMs: x.startTime.UnixMilli(),
-		Method: boundedText(x.r.Method), Host: boundedText(x.r.Host), Path: boundedText(x.r.URL.Path),
+		Method: boundedText(x.r.Method), Host: boundedText(x.r.Host), Path: boundedText(x.r.URL.EscapedPath()),
 		Class: x.call.Class, Organisation: x.call.Organisation,
 		Kind: answer.Kind, Status: uint32(answer.Status), Message: boundedText(answer.Message),
 		TookUs: microseconds(time.Since(x.startTime)),
--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -66,6 +66,12 @@
 			So(record.GetAttempts()[0].GetOffer().GetWaitUs(), ShouldEqual, 1000)
 			So(record.String(), ShouldNotContainSubstring, "secret")
 		})
+		Convey("a record has the path as the caller escaped it", func() {
+			x := rememberedExchange("escaped")
+			x.r = httptest.NewRequest(http.MethodGet, "/a%0Aentry%20of%20other%1b%5B2J/%2F", nil)
+			h.memory.add(x, refusal)
+			So(h.Remembered("escaped").GetRecords()[0].GetPath(), ShouldEqual, "/a%0Aentry%20of%20other%1b%5B2J/%2F")
+		})
 		Convey("an id that was used again has all its records, newest first, up to a limit", func() {
 			for i := range 2 * maxFoundRecords {
 				x := rememberedExchange("again")
