gate: give the true reason of a refusal to an operator

Cause: every refusal of the queue was explained as "no slot is free, and the queue has no place from which the request would be answered in time". A slow server with free slots and an empty queue got that text as well, and so did a cold server and one at its rate limit.

Change: the limiter derives the reason from its state: too slow at present, at its rate limit, cold or not known to be warm, late behind the queue, no place in the queue, or places that are kept for promised returns. Where two apply, one of the server's rates is named before its slowdown, and a late start before a full queue. The decision itself is unchanged.

--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -105,9 +105,12 @@
 	if l.unconfirmed {
 		limit = min(limit, maxUnconfirmed)
 	}
-	l.queue.SetLimits(limit, l.slots*l.queuePercent/100)
+	l.queue.SetLimits(limit, l.queueCapacityLocked())
 }
 
+// queueCapacityLocked returns the number of requests that may wait.
+func (l *limiter) queueCapacityLocked() int { return l.slots * l.queuePercent / 100 }
+
 // recordAnswer records the notice, if any, in the server's answer to a request sent at
 // sentAt.
 func (l *limiter) recordAnswer(sentAt time.Time, notice *wire.ServerNotice) {
--- a/internal/gate/offer.go
+++ b/internal/gate/offer.go
@@ -24,7 +24,7 @@
 	}}
 	offer := &pb.Offer{Incarnation: g.options.Incarnation}
 	if question.GetInspect() {
-		defer g.explainOffer(offer)
+		defer func() { offer.Cold = g.cold.enabled.Load() && g.limiter.isCold() }()
 	}
 	server, refusal := g.serverFor(call)
 	if refusal != nil {
@@ -45,38 +45,33 @@
 	g.askIfCold(server)
 	if server.notices.hasLeftBefore() {
 		offer.Refused = true
+		if question.GetInspect() {
+			offer.Kind, offer.Message = pb.ErrorKind_ERROR_KIND_DRAINING, "the backend server says that it leaves"
+		}
 		return offer
 	}
-	g.limiter.offer(slotRequestOf(call), offer)
+	g.limiter.offer(slotRequestOf(call), offer, question.GetInspect())
 	return offer
 }
 
-// explainOffer adds to an offer what only an operator needs.
-func (g *Gate) explainOffer(offer *pb.Offer) {
-	offer.Cold = g.cold.enabled.Load() && g.limiter.isCold()
-	if !offer.Refused || offer.Kind != 0 {
-		return
-	}
-	if server := g.server.Load(); server != nil && server.notices.hasLeftBefore() {
-		offer.Kind, offer.Message = pb.ErrorKind_ERROR_KIND_DRAINING, "the backend server says that it leaves"
-		return
-	}
-	offer.Kind, offer.Message = pb.ErrorKind_ERROR_KIND_OVERLOADED, "no slot is free, and the queue has no place from which the request would be answered in time"
-}
-
-// offer sets the expected wait and service time of a request in an offer.
-func (l *limiter) offer(s slotRequest, into *pb.Offer) {
+// offer sets the expected wait and service time of a request in an offer. With inspect it
+// also sets the reason of a refusal.
+func (l *limiter) offer(s slotRequest, into *pb.Offer, inspect bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.queue.SetMeanHoldTime(l.serviceTimes.MeanHoldTime())
 	l.queue.SetSlowdown(l.slowdowns.Now(now))
-	estimate := l.queue.Estimate(now, l.requestLocked(s))
+	request := l.requestLocked(s)
+	estimate := l.queue.Estimate(now, request)
+	if inspect && estimate.Refused {
+		into.Kind, into.Message = pb.ErrorKind_ERROR_KIND_OVERLOADED, l.refusalReasonLocked(now, &request, estimate)
+	}
 	into.Refused = estimate.Refused
 	into.AtOnce = estimate.AtOnce
 	into.Promised = estimate.HasPlace
 	if estimate.Refused && s.fingerprint != 0 && l.hasScheduleLocked(now) {
-		if wait, isLater := l.queue.Places.Later(now, l.requestLocked(s)); isLater {
+		if wait, isLater := l.queue.Places.Later(now, request); isLater {
 			into.ReturnAfterUs = uint32(wait.Microseconds())
 		}
 	}
