entry: name only the offer that can't be taken

Cause: if the best offer of another region couldn't be taken and the balancer picked by load data, egretctl where said of every server asked, also of those in the own region, that it can't be taken because of the byte budget.

Change: the inspection records the endpoint whose Take failed. The other servers asked are "not picked".

Result: the new part of TestWhere failed with "can't be taken: the byte budget ..." for a server of the own region, and passes.

--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -74,6 +74,7 @@
 		if err != nil {
 			// The endpoint was removed in the meantime, or the byte budget for other
 			// regions is exhausted.
+			x.inspection.recordNotTaken(best.Endpoint)
 			return x.balancer.Pick(info)
 		}
 		x.offer, x.placedByOffer = best, true
--- a/internal/entry/where.go
+++ b/internal/entry/where.go
@@ -49,6 +49,8 @@
 	replies map[*balance.Endpoint]inspectedReply
 	// offers are the offers that the request would receive.
 	offers []balance.EndpointOffer
+	// notTaken is the endpoint whose offer was the best, but couldn't be taken; nil: none.
+	notTaken *balance.Endpoint
 	// untilTarget is the time until the target when the endpoint was chosen.
 	untilTarget time.Duration
 	// further is set while gates are asked that a request wouldn't ask.
@@ -71,6 +73,13 @@
 	}
 }
 
+// recordNotTaken records that the endpoint's offer was the best, but couldn't be taken.
+func (i *inspection) recordNotTaken(endpoint *balance.Endpoint) {
+	if i != nil {
+		i.notTaken = endpoint
+	}
+}
+
 // Where returns what this entry would decide about a request that arrives now. The request
 // isn't sent, and nothing is reserved or counted. It fails if the question can't be a
 // request, or names an organisation that the configuration doesn't have.
@@ -309,8 +318,10 @@
 		return reasonOtherStart
 	case asked && reply.Offer.GetRefused():
 		return balance.ReasonRefuses
-	case asked && x.offer == nil:
+	case asked && endpoint == x.inspection.notTaken:
 		return reasonNotTaken
+	case asked && x.offer == nil:
+		return reasonNotPicked
 	case asked:
 		return balancer.Reason(x.inspection.offers, endpoint, x.offer.Endpoint, x.inspection.untilTarget)
 	case x.balancer.Placer() == nil || x.handler.options.Offers == nil:
--- a/internal/entry/where_test.go
+++ b/internal/entry/where_test.go
@@ -134,6 +134,30 @@
 				compare("keyed", "acme")
 				compare("open", "")
 			})
+			Convey("only the offer that can't be taken is said not to be", func() {
+				b.Update([]*balance.Endpoint{northEndpoint("own"), northEndpoint("other"), far}, &pb.Policy{CrossRegionBytesPerS: 1})
+				for _, err := b.Placer().Take(far, balance.PickInfo{}); err == nil; {
+					_, err = b.Placer().Take(far, balance.PickInfo{})
+				}
+				offers.offers["own"] = &pb.Offer{Incarnation: 1, WaitUs: 11_000_000, WorkUs: 1000}
+				offers.offers["other"] = &pb.Offer{Incarnation: 1, WaitUs: 12_000_000, WorkUs: 1000}
+				offers.offers["far"] = &pb.Offer{Incarnation: 1, WorkUs: 1000, AtOnce: true}
+				decision := ask("open", "")
+				So(decision.GetByOffers(), ShouldBeFalse)
+				reasons := map[string]string{}
+				for _, c := range decision.GetCandidates() {
+					So(c.GetAsked(), ShouldBeTrue)
+					if c.GetInstance() != decision.GetChosen() {
+						reasons[c.GetInstance()] = c.GetReasons()[0]
+					}
+				}
+				So(len(reasons), ShouldEqual, 2)
+				So(reasons["far"], ShouldStartWith, "can't be taken: ")
+				delete(reasons, "far")
+				for _, reason := range reasons {
+					So(reason, ShouldEqual, "not picked")
+				}
+			})
 			Convey("the service of a split is the next one, however often it is asked", func() {
 				offers.offers["own"] = &pb.Offer{Incarnation: 1, WorkUs: 1000}
 				offers.offers["other"] = &pb.Offer{Incarnation: 1, Refused: true}
