egretctl where: refuse -request together with -organisation or -method

Cause: with -request only -host and -path were refused. -organisation and -method were ignored silently.

Change: each of the four flags is a usage error with -request, which names those given.

--- a/internal/ctl/where.go
+++ b/internal/ctl/where.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -49,10 +51,20 @@
 
 // runWhere asks an entry what it would decide about a request.
 func runWhere(ctx context.Context, s *session) error {
-	aboutRequest := s.question.GetHost() != "" || s.question.GetPath() != ""
-	if s.question.GetRequestId() != "" && aboutRequest || s.question.GetRequestId() == "" && (s.question.GetHost() == "" || s.question.GetPath() == "") {
+	if s.question.GetRequestId() == "" && (s.question.GetHost() == "" || s.question.GetPath() == "") {
 		return s.usageError("expected -host and -path, or -request")
 	}
+	if s.question.GetRequestId() != "" {
+		var unused []string
+		s.flags.Visit(func(f *flag.Flag) {
+			if slices.Contains([]string{"host", "path", "method", "organisation"}, f.Name) {
+				unused = append(unused, "-"+f.Name)
+			}
+		})
+		if len(unused) > 0 {
+			return s.usageError("expected -host and -path, or -request: -request can't be used with %s", strings.Join(unused, ", "))
+		}
+	}
 	if err := s.separateInstance(); err != nil {
 		return err
 	}
--- a/internal/ctl/where_test.go
+++ b/internal/ctl/where_test.go
@@ -144,6 +144,8 @@
 		s.run("where -request r1 -log http://log")
 		s.log.SetFaults(&pb.LogFaults{})
 		s.run("where -request r1 -host shop.example -path /")
+		s.run("where -request r1 -organisation acme")
+		s.run("where -request r1 -method GET")
 		if strings.Contains(s.text.String(), "secret") {
 			t.Error("a key was shown")
 		}
