egretctl where: keep times of requests of over 71 minutes

Cause: took_us and latency_us of a record were uint32 microseconds, which wrap after 71.6 minutes.

Change: both are uint64, which older builds read and write in the same encoding. As JSON they are strings now, as left_us is.

Result: a request of 2 hours was recorded with microseconds before; the new part of TestRequestMemory failed with that and passes now.

--- a/internal/ctl/where.go
+++ b/internal/ctl/where.go
@@ -242,6 +242,6 @@
 	return []string{answer, microsecondsText(offer.GetWaitUs()), serviceTime, microsecondsText(offer.GetRoundTripUs())}
 }
 
-func microsecondsText(us uint32) string {
+func microsecondsText[T uint32 | uint64](us T) string {
 	return fmt.Sprintf("%.1f ms", float64(us)/1000)
 }
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -82,7 +82,7 @@
 		Method: boundedText(x.r.Method), Host: boundedText(x.r.Host), Path: boundedText(x.r.URL.EscapedPath()),
 		Class: x.call.Class, Organisation: x.call.Organisation,
 		Kind: answer.Kind, Status: uint32(answer.Status), Message: boundedText(answer.Message),
-		TookUs: microseconds(time.Since(x.startTime)),
+		TookUs: uint64(max(time.Since(x.startTime).Microseconds(), 0)),
 	}
 	if answer.Kind != 0 {
 		record.Status = uint32(errkind.Of(answer.Kind).Status)
@@ -98,7 +98,7 @@
 		record.ConfigVersion = x.authenticatedBy.regions.Version()
 	}
 	for _, a := range x.attemptLog[:min(len(x.attemptLog), maxRememberedAttempts)] {
-		attempt := &pb.WhereAttempt{Instance: a.instance, Region: a.region, Outcome: a.outcome, LatencyUs: microseconds(a.latency)}
+		attempt := &pb.WhereAttempt{Instance: a.instance, Region: a.region, Outcome: a.outcome, LatencyUs: uint64(max(a.latency.Microseconds(), 0))}
 		if a.offer != nil {
 			attempt.Offer = &pb.WhereOffer{
 				WaitUs: microseconds(a.offer.Wait), ServiceUs: microseconds(a.offer.ServiceTime),
--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -72,6 +72,15 @@
 			h.memory.add(x, refusal)
 			So(h.Remembered("escaped").GetRecords()[0].GetPath(), ShouldEqual, "/a%0Aentry%20of%20other%1b%5B2J/%2F")
 		})
+		Convey("the times of a request that took hours are whole", func() {
+			x := rememberedExchange("long")
+			x.startTime = time.Now().Add(-2 * time.Hour)
+			x.attemptLog[0].latency = 2 * time.Hour
+			h.memory.add(x, refusal)
+			record := h.Remembered("long").GetRecords()[0]
+			So(record.GetTookUs(), ShouldBeBetween, uint64(2*time.Hour.Microseconds())-1, uint64(2*time.Hour.Microseconds())+60e6)
+			So(record.GetAttempts()[0].GetLatencyUs(), ShouldEqual, 2*time.Hour.Microseconds())
+		})
 		Convey("an id that was used again has all its records, newest first, up to a limit", func() {
 			for i := range 2 * maxFoundRecords {
 				x := rememberedExchange("again")
