egretctl where: tell the oldest success and failure apart; recent requests

Cause: the time of the oldest remembered request was the minimum over successes and failures, which have bounds of their own. An operator who looked for a success after that time could take it for one that never arrived. The names requestMemory, Remembered and WhereMemory weren't the usual term.

Names and output speak of recent requests; the field memories of the reply is recent_requests.

--- a/internal/ctl/where.go
+++ b/internal/ctl/where.go
@@ -89,8 +89,8 @@
 	if reply.GetUnreachable() != "" {
 		return errkind.New(pb.ErrorKind_ERROR_KIND_TIMEOUT, "the entry of %s couldn't be asked", reply.GetInstance())
 	}
-	if s.question.GetRequestId() != "" && !remembers(reply) {
-		return errkind.New(pb.ErrorKind_ERROR_KIND_NOT_FOUND, "no entry that was asked remembers the request")
+	if s.question.GetRequestId() != "" && !hasRecord(reply) {
+		return errkind.New(pb.ErrorKind_ERROR_KIND_NOT_FOUND, "no entry that was asked has the request among its recent ones")
 	}
 	return nil
 }
@@ -118,7 +118,7 @@
 		return nil
 	}
 	if s.question.GetRequestId() != "" {
-		s.printMemories(reply.GetMemories())
+		s.printRecentRequests(reply.GetRecentRequests())
 		return nil
 	}
 	s.printDecision(reply.GetInstance(), reply.GetDecision())
--- a/internal/ctl/where_request.go
+++ b/internal/ctl/where_request.go
@@ -8,34 +8,42 @@
 	"github.com/egretfield/egretfield/internal/pb"
 )
 
-// remembers reports whether any entry remembers the request that was asked about.
-func remembers(reply *pb.WhereReply) bool {
-	return slices.ContainsFunc(reply.GetMemories(), func(m *pb.WhereMemory) bool { return len(m.GetRecords()) > 0 })
+// hasRecord reports whether any entry has the request that was asked about.
+func hasRecord(reply *pb.WhereReply) bool {
+	return slices.ContainsFunc(reply.GetRecentRequests(), func(r *pb.WhereRecentRequests) bool { return len(r.GetRecords()) > 0 })
 }
 
-// printMemories prints what entries remember of a request, and which of them can't know it.
-func (s *session) printMemories(memories []*pb.WhereMemory) {
-	for _, memory := range memories {
-		for _, record := range memory.GetRecords() {
-			s.printRecord(memory.GetInstance(), record)
+// printRecentRequests prints what entries have of a request, and which of them can't know it.
+func (s *session) printRecentRequests(entries []*pb.WhereRecentRequests) {
+	for _, recent := range entries {
+		for _, record := range recent.GetRecords() {
+			s.printRecord(recent.GetInstance(), record)
 		}
 	}
-	asked, remembered := 0, uint32(0)
-	for _, memory := range memories {
+	asked, count := 0, uint32(0)
+	for _, recent := range entries {
 		switch {
-		case memory.GetUnreachable() != "":
-			s.printf("entry of %s: unreachable: %s", memory.GetInstance(), memory.GetUnreachable())
+		case recent.GetUnreachable() != "":
+			s.printf("entry of %s: unreachable: %s", recent.GetInstance(), recent.GetUnreachable())
 			continue
-		case memory.GetRemembered() == 0:
-			s.printf("entry of %s: its memory is empty since its start at %s", memory.GetInstance(), formatTime(memory.GetStartedUnixMs()))
-		case len(memory.GetRecords()) == 0 && len(memories) == 1:
-			s.printf("entry of %s: not among the %d requests that it remembers, the oldest of %s",
-				memory.GetInstance(), memory.GetRemembered(), formatTime(memory.GetOldestUnixMs()))
+		case recent.GetCount() == 0:
+			s.printf("entry of %s: no recent requests since its start at %s", recent.GetInstance(), formatTime(recent.GetStartedUnixMs()))
+		case len(recent.GetRecords()) == 0 && len(entries) == 1:
+			s.printf("entry of %s: not among its %d recent requests: %s, %s", recent.GetInstance(), recent.GetCount(),
+				oldestText("successes", recent.GetOldestSuccessUnixMs()), oldestText("failures", recent.GetOldestFailureUnixMs()))
 		}
 		asked++
-		remembered += memory.GetRemembered()
+		count += recent.GetCount()
 	}
-	s.printf("asked %d of %d entries, which remember %d requests that were logged", asked, len(memories), remembered)
+	s.printf("asked %d of %d entries, which have %d recent requests", asked, len(entries), count)
+}
+
+// oldestText says since when an entry has the requests with an outcome.
+func oldestText(outcome string, oldestUnixMs int64) string {
+	if oldestUnixMs == 0 {
+		return "no " + outcome
+	}
+	return outcome + " since " + formatTime(oldestUnixMs)
 }
 
 func (s *session) printRecord(instance string, record *pb.WhereRecord) {
--- a/internal/ctl/where_test.go
+++ b/internal/ctl/where_test.go
@@ -47,19 +47,23 @@
 }
 
 // Where implements NodeStatus by an entry with a stand-in for offers. orders-3 is out of
-// reach, and orders-2 has just started.
+// reach. orders-2 has just started, but has the requests of the entry if it is asked alone.
 func (s *testFleet) Where(question *pb.WhereRequest) (*pb.WhereReply, error) {
 	const unreachable = "no answer from 10.0.0.9:7003"
 	switch {
 	case question.GetInstance() == instances[2]:
 		return &pb.WhereReply{Instance: instances[2], Unreachable: unreachable}, nil
-	case question.GetInstance() != "":
+	case question.GetInstance() != "" && question.GetInstance() != instances[1]:
 		return nil, errkind.New(pb.ErrorKind_ERROR_KIND_NOT_FOUND, "the node asked knows no instance %q", question.GetInstance())
 	case question.GetRequestId() != "":
-		memory := s.entry.Remembered(question.GetRequestId())
-		memory.Instance, memory.StartedUnixMs = instances[0], 946684800000
-		return &pb.WhereReply{Instance: instances[0], Memories: []*pb.WhereMemory{
-			memory, {Instance: instances[1], StartedUnixMs: 946684800000}, {Instance: instances[2], Unreachable: unreachable},
+		recent := s.entry.RecentRequests(question.GetRequestId())
+		recent.Instance, recent.StartedUnixMs = instances[0], 946684800000
+		if question.GetInstance() != "" {
+			recent.Instance = instances[1]
+			return &pb.WhereReply{Instance: instances[1], RecentRequests: []*pb.WhereRecentRequests{recent}}, nil
+		}
+		return &pb.WhereReply{Instance: instances[0], RecentRequests: []*pb.WhereRecentRequests{
+			recent, {Instance: instances[1], StartedUnixMs: 946684800000}, {Instance: instances[2], Unreachable: unreachable},
 		}}, nil
 	}
 	s.startEntry()
@@ -132,8 +136,10 @@
 		s.run("where -host shop.example -path / -node 10.0.0.9:7003")
 		s.run("where -request r1")
 		s.send("r1", "shop.example", "secret-1")
+		s.run("where -request r9 -node orders-2")
 		s.send("r2", "shop.example", "")
 		s.send("r2", "mixed.example", "secret-2")
+		s.run("where -request r9 -node orders-2")
 		s.sendTo("/a%0Aentry%20of%20other%1b%5B2J/", "r3", "shop.example", "secret-1")
 		s.run("where -request r1")
 		s.run("where -request r2")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,7 +86,7 @@
 	routes        atomic.Pointer[Routes]
 	metrics       metrics
 	requestLogger requestLogger
-	memory        requestMemory
+	recent        recentRequests
 
 	// stopBy is the time by which every request must be answered because the node is
 	// stopping; nil if it isn't.
--- a/internal/entry/memory.go
+++ b/internal/entry/recent.go
@@ -15,26 +15,26 @@
 )
 
 const (
-	// maxSuccessBytes and maxFailureBytes bound the memory of requests: 2 MiB of the 32 MB
+	// maxSuccessBytes and maxFailureBytes bound the recent requests: 2 MiB of the 32 MB
 	// that a node's control may use. Failures have their own so that successes don't
 	// displace them.
 	maxSuccessBytes = 5 << 18
 	maxFailureBytes = 3 << 18
 	// recordOverheadBytes is counted for each record besides its encoded form.
 	recordOverheadBytes = 24
-	// maxRememberedText bounds each text of a record in bytes. Requests with a longer id
-	// aren't remembered.
-	maxRememberedText = 128
-	// maxRememberedAttempts bounds the attempts in a record.
-	maxRememberedAttempts = 8
+	// maxRecordedText bounds each text of a record in bytes. Requests with a longer id
+	// aren't recorded.
+	maxRecordedText = 128
+	// maxRecordedAttempts bounds the attempts in a record.
+	maxRecordedAttempts = 8
 	// maxFoundRecords bounds the records with one id that are returned; callers may use an
 	// id again.
 	maxFoundRecords = 16
 )
 
-// requestMemory holds the most recent requests that were logged. It is safe for concurrent
+// recentRequests holds the most recent requests that were logged. It is safe for concurrent
 // use; the rate limits of the log bound the use of its lock.
-type requestMemory struct {
+type recentRequests struct {
 	mu                  sync.Mutex
 	successes, failures records
 }
@@ -57,22 +57,22 @@
 	}
 }
 
-// add remembers a request and its answer.
-func (m *requestMemory) add(x *exchange, answer *wire.Answer) {
-	if len(x.requestID) > maxRememberedText {
+// add records a request and its answer.
+func (r *recentRequests) add(x *exchange, answer *wire.Answer) {
+	if len(x.requestID) > maxRecordedText {
 		return
 	}
 	encoded, err := proto.Marshal(x.record(answer))
 	if err != nil {
 		return // a text that isn't UTF-8
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if answer.Kind == 0 && answer.Status < 400 {
-		m.successes.add(encoded, maxSuccessBytes)
+		r.successes.add(encoded, maxSuccessBytes)
 		return
 	}
-	m.failures.add(encoded, maxFailureBytes)
+	r.failures.add(encoded, maxFailureBytes)
 }
 
 // record describes what was decided about the request.
@@ -97,7 +97,7 @@
 	if x.authenticatedBy != nil {
 		record.ConfigVersion = x.authenticatedBy.regions.Version()
 	}
-	for _, a := range x.attemptLog[:min(len(x.attemptLog), maxRememberedAttempts)] {
+	for _, a := range x.attemptLog[:min(len(x.attemptLog), maxRecordedAttempts)] {
 		attempt := &pb.WhereAttempt{Instance: a.instance, Region: a.region, Outcome: a.outcome, LatencyUs: uint64(max(a.latency.Microseconds(), 0))}
 		if a.offer != nil {
 			attempt.Offer = &pb.WhereOffer{
@@ -112,34 +112,46 @@
 
 // boundedText returns the first bytes of a text, without those that aren't UTF-8.
 func boundedText(text string) string {
-	return strings.ToValidUTF8(text[:min(len(text), maxRememberedText)], "")
+	return strings.ToValidUTF8(text[:min(len(text), maxRecordedText)], "")
 }
 
-// Remembered returns what the entry remembers of the requests with an id, newest first.
-func (h *Handler) Remembered(id string) *pb.WhereMemory {
-	m := &h.memory
-	m.mu.Lock()
-	all := slices.Concat(m.successes.encoded, m.failures.encoded)
-	successes := len(m.successes.encoded)
-	m.mu.Unlock()
-	memory := &pb.WhereMemory{Remembered: uint32(len(all))}
-	for i, encoded := range all {
-		isOldest := i == 0 || i == successes
-		if !isOldest && !bytes.Contains(encoded, []byte(id)) {
+// RecentRequests returns the recent requests with an id, newest first.
+func (h *Handler) RecentRequests(id string) *pb.WhereRecentRequests {
+	r := &h.recent
+	r.mu.Lock()
+	// The copies of the slices share the records, which don't change.
+	successes, failures := slices.Clone(r.successes.encoded), slices.Clone(r.failures.encoded)
+	r.mu.Unlock()
+	recent := &pb.WhereRecentRequests{
+		Count:               uint32(len(successes) + len(failures)),
+		OldestSuccessUnixMs: oldestTime(successes),
+		OldestFailureUnixMs: oldestTime(failures),
+	}
+	for _, encoded := range slices.Concat(successes, failures) {
+		if !bytes.Contains(encoded, []byte(id)) {
 			continue
 		}
-		record := &pb.WhereRecord{}
-		if err := proto.Unmarshal(encoded, record); err != nil {
-			continue // can't happen: add encoded it
-		}
-		if isOldest && (memory.OldestUnixMs == 0 || record.GetTimeUnixMs() < memory.GetOldestUnixMs()) {
-			memory.OldestUnixMs = record.GetTimeUnixMs()
-		}
-		if record.GetRequestId() == id {
-			memory.Records = append(memory.Records, record)
+		if record := decodeRecord(encoded); record.GetRequestId() == id {
+			recent.Records = append(recent.Records, record)
 		}
 	}
-	slices.SortStableFunc(memory.Records, func(a, b *pb.WhereRecord) int { return int(b.GetTimeUnixMs() - a.GetTimeUnixMs()) })
-	memory.Records = memory.Records[:min(len(memory.Records), maxFoundRecords)]
-	return memory
+	slices.SortStableFunc(recent.Records, func(a, b *pb.WhereRecord) int { return int(b.GetTimeUnixMs() - a.GetTimeUnixMs()) })
+	recent.Records = recent.Records[:min(len(recent.Records), maxFoundRecords)]
+	return recent
+}
+
+// oldestTime returns the time of the first record in Unix milliseconds, or zero without any.
+func oldestTime(encoded [][]byte) int64 {
+	if len(encoded) == 0 {
+		return 0
+	}
+	return decodeRecord(encoded[0]).GetTimeUnixMs()
+}
+
+func decodeRecord(encoded []byte) *pb.WhereRecord {
+	record := &pb.WhereRecord{}
+	if err := proto.Unmarshal(encoded, record); err != nil {
+		return nil // can't happen: add encoded it
+	}
+	return record
 }
--- a/internal/entry/requestlog.go
+++ b/internal/entry/requestlog.go
@@ -103,7 +103,7 @@
 		x.handler.metrics.droppedLogLines.Add(1)
 		return
 	}
-	x.handler.memory.add(x, answer)
+	x.handler.recent.add(x, answer)
 	fields := []zap.Field{
 		zap.String("request", x.requestID),
 		zap.String("outcome", outcomeName(answer)),
--- a/internal/node/where.go
+++ b/internal/node/where.go
@@ -26,13 +26,13 @@
 	defer cancel()
 	own := s.node.settings.GetInstance()
 	if question.GetEverywhere() && question.GetRequestId() != "" {
-		return &pb.WhereReply{Instance: own, Memories: s.askAll(question)}, nil
+		return &pb.WhereReply{Instance: own, RecentRequests: s.askAll(question)}, nil
 	}
 	if instance := question.GetInstance(); instance != "" && instance != own {
 		return askInstance(ctx, s.node.controlClient, s.node.members.View().Members, question)
 	}
 	if question.GetRequestId() != "" {
-		return &pb.WhereReply{Instance: own, Memories: []*pb.WhereMemory{s.memory(question.GetRequestId())}}, nil
+		return &pb.WhereReply{Instance: own, RecentRequests: []*pb.WhereRecentRequests{s.recentRequests(question.GetRequestId())}}, nil
 	}
 	decision, err := s.node.entry.Where(ctx, question)
 	if err != nil {
@@ -65,56 +65,56 @@
 	return reply, nil
 }
 
-// memory returns what this node's entry remembers of a request.
-func (s *status) memory(requestID string) *pb.WhereMemory {
-	memory := s.node.entry.Remembered(requestID)
-	memory.Instance = s.node.settings.GetInstance()
-	memory.StartedUnixMs = s.node.started.UnixMilli()
-	return memory
+// recentRequests returns the recent requests of this node's entry with an id.
+func (s *status) recentRequests(requestID string) *pb.WhereRecentRequests {
+	recent := s.node.entry.RecentRequests(requestID)
+	recent.Instance = s.node.settings.GetInstance()
+	recent.StartedUnixMs = s.node.started.UnixMilli()
+	return recent
 }
 
-// askAll asks every node for what it remembers of a request.
-func (s *status) askAll(question *pb.WhereRequest) []*pb.WhereMemory {
+// askAll asks every node for its recent requests with an id.
+func (s *status) askAll(question *pb.WhereRequest) []*pb.WhereRecentRequests {
 	members := slices.DeleteFunc(slices.Clone(s.node.members.View().Members), func(m *pb.Member) bool {
 		return m.GetStatus() == pb.MemberStatus_MEMBER_STATUS_LEFT
 	})
-	memories := make([]*pb.WhereMemory, len(members))
+	all := make([]*pb.WhereRecentRequests, len(members))
 	var group errgroup.Group
 	group.SetLimit(maxFleetCalls)
 	for i, m := range members {
 		group.Go(func() error {
-			memories[i] = s.memoryOf(m, members, question.GetRequestId())
+			all[i] = s.recentRequestsOf(m, members, question.GetRequestId())
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return memories
+	return all
 }
 
-// memoryOf returns what the entry of a member remembers of a request.
-func (s *status) memoryOf(m *pb.Member, members []*pb.Member, requestID string) *pb.WhereMemory {
+// recentRequestsOf returns the recent requests of a member's entry with an id.
+func (s *status) recentRequestsOf(m *pb.Member, members []*pb.Member, requestID string) *pb.WhereRecentRequests {
 	if m.GetInstance() == s.node.settings.GetInstance() {
-		return s.memory(requestID)
+		return s.recentRequests(requestID)
 	}
-	memory := &pb.WhereMemory{Instance: m.GetInstance()}
+	recent := &pb.WhereRecentRequests{Instance: m.GetInstance()}
 	if !isLive(m) {
-		memory.Unreachable = "dead, by the member list"
-		return memory
+		recent.Unreachable = "dead, by the member list"
+		return recent
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), fleetCallTimeout)
 	defer cancel()
 	reply, err := askInstance(ctx, s.node.controlClient, members, &pb.WhereRequest{Instance: m.GetInstance(), RequestId: requestID})
 	switch {
 	case err != nil:
-		memory.Unreachable = err.Error()
+		recent.Unreachable = err.Error()
 	case reply.GetUnreachable() != "":
-		memory.Unreachable = reply.GetUnreachable()
-	case len(reply.GetMemories()) == 1:
-		return reply.GetMemories()[0]
+		recent.Unreachable = reply.GetUnreachable()
+	case len(reply.GetRecentRequests()) == 1:
+		return reply.GetRecentRequests()[0]
 	default:
-		memory.Unreachable = "remembers no requests in this build"
+		recent.Unreachable = "has no recent requests in this build"
 	}
-	return memory
+	return recent
 }
 
 // addMembers adds what the membership and the configuration know about the service's
--- a/internal/node/where_test.go
+++ b/internal/node/where_test.go
@@ -61,11 +61,13 @@
 		So(response.Body.Close(), ShouldBeNil)
 		reply := &pb.WhereReply{}
 		So(client.Call(context.Background(), n.Addresses().Control, ctl.MethodWhere, &pb.WhereRequest{RequestId: "r1", Everywhere: true}, reply), ShouldBeNil)
-		So(len(reply.GetMemories()), ShouldEqual, 1)
-		So(reply.GetMemories()[0].GetStartedUnixMs(), ShouldEqual, n.started.UnixMilli())
-		So(reply.GetMemories()[0].GetRecords()[0].GetKind(), ShouldEqual, pb.ErrorKind_ERROR_KIND_UNAUTHENTICATED)
+		So(len(reply.GetRecentRequests()), ShouldEqual, 1)
+		So(reply.GetRecentRequests()[0].GetStartedUnixMs(), ShouldEqual, n.started.UnixMilli())
+		So(reply.GetRecentRequests()[0].GetRecords()[0].GetKind(), ShouldEqual, pb.ErrorKind_ERROR_KIND_UNAUTHENTICATED)
 		gone := &pb.Member{Instance: "gone", ControlAddress: "127.0.0.1:1", Status: pb.MemberStatus_MEMBER_STATUS_ALIVE}
-		unreachable := func() string { return (&status{node: n}).memoryOf(gone, []*pb.Member{gone}, "r1").GetUnreachable() }
+		unreachable := func() string {
+			return (&status{node: n}).recentRequestsOf(gone, []*pb.Member{gone}, "r1").GetUnreachable()
+		}
 		So(unreachable(), ShouldNotBeEmpty)
 		gone.Status = pb.MemberStatus_MEMBER_STATUS_DEAD
 		So(unreachable(), ShouldEqual, "dead, by the member list")
