egretctl where: use the usual terms in names and comments

Cause: some names and comments of egretctl where weren't the usual terms.

Change: quota.Standing is CapStatus; "without a trace" and "leaves no trace" are "without recording"; "another start of the node", which egretctl prints, is "another incarnation of the node"; the copy of a quota holder says that the asks of its parts are shared.

TestWhere of internal/entry expects the new text.

--- a/internal/balance/inspect_test.go
+++ b/internal/balance/inspect_test.go
@@ -18,7 +18,7 @@
 		all := append(makeEndpoints("r", 2), makeEndpoints("far", 2)...)
 		elsewhere := PickInfo{Tried: []string{"r0", "r1"}}
 		for _, policy := range Names() {
-			Convey(policy+": an inspection chooses without a trace", t, func() {
+			Convey(policy+": an inspection chooses without recording", t, func() {
 				b := mustNew(policy).(*pool)
 				b.Update(all, &pb.Policy{CrossRegionBytesPerS: assumedRequestBytes})
 				before := b.Facts()
--- a/internal/entry/where.go
+++ b/internal/entry/where.go
@@ -30,18 +30,18 @@
 
 // Reasons why a candidate is or isn't chosen, besides those of package balance.
 const (
-	reasonBestOffer    = "chosen: best offer"
-	reasonPickedByLoad = "chosen: picked by load data, without offers"
-	reasonRegion       = "region not allowed"
-	reasonEjected      = "ejected"
-	reasonCold         = "cold"
-	reasonNoOffer      = "no offer arrived"
-	reasonOtherStart   = "its offer is of another start of the node"
-	reasonNotAsked     = "not asked: others were asked first"
-	reasonOtherRegion  = "not asked: other regions are asked only when the own one refuses or answers late"
-	reasonNotPicked    = "not picked"
-	reasonNotTaken     = "can't be taken: the byte budget for other regions is used up, or the server has left"
-	reasonRefusedEarly = "not asked: the request is refused before"
+	reasonBestOffer        = "chosen: best offer"
+	reasonPickedByLoad     = "chosen: picked by load data, without offers"
+	reasonRegion           = "region not allowed"
+	reasonEjected          = "ejected"
+	reasonCold             = "cold"
+	reasonNoOffer          = "no offer arrived"
+	reasonOtherIncarnation = "its offer is of another incarnation of the node"
+	reasonNotAsked         = "not asked: others were asked first"
+	reasonOtherRegion      = "not asked: other regions are asked only when the own one refuses or answers late"
+	reasonNotPicked        = "not picked"
+	reasonNotTaken         = "can't be taken: the byte budget for other regions is used up, or the server has left"
+	reasonRefusedEarly     = "not asked: the request is refused before"
 )
 
 // inspection records how a request would be placed. A nil inspection records nothing.
@@ -315,7 +315,7 @@
 	case asked && reply.Offer == nil:
 		return reasonNoOffer
 	case asked && !isOfferOf(reply.Reply, endpoint):
-		return reasonOtherStart
+		return reasonOtherIncarnation
 	case asked && reply.Offer.GetRefused():
 		return balance.ReasonRefuses
 	case asked && endpoint == x.inspection.notTaken:
--- a/internal/entry/where_test.go
+++ b/internal/entry/where_test.go
@@ -49,7 +49,7 @@
 }
 
 // TestWhere guards against a decision that differs from what a request gets next, or that
-// leaves a trace in the balancer or the offers of requests.
+// records something in the balancer or the offers of requests.
 func TestWhere(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		Convey("Given an entry in region north", t, func() {
@@ -116,7 +116,7 @@
 				_, err := h.Where(context.Background(), &pb.WhereRequest{Host: "keyed", Path: "/", Organisation: "nobody"})
 				So(errkind.KindOf(err), ShouldEqual, pb.ErrorKind_ERROR_KIND_NOT_FOUND)
 			})
-			Convey("the choice is that of the request, and leaves no trace", func() {
+			Convey("the choice is that of the request, without recording", func() {
 				offers.offers["own"] = &pb.Offer{Incarnation: 1, WorkUs: 1000}
 				offers.offers["other"] = &pb.Offer{Incarnation: 2, WorkUs: 1000}
 				facts := b.(balance.Explainer).Facts()
@@ -129,7 +129,7 @@
 					reasons[c.GetInstance()] = c.GetReasons()[0]
 				}
 				So(reasons, ShouldResemble, map[string]string{
-					"own": "chosen: best offer", "other": "its offer is of another start of the node", "far": "region not allowed",
+					"own": "chosen: best offer", "other": "its offer is of another incarnation of the node", "far": "region not allowed",
 				})
 				compare("keyed", "acme")
 				compare("open", "")
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -92,18 +92,18 @@
 
 // Peek implements entry.QuotaReader.
 func (a quotaAdapter) Peek(organisation string) *pb.WhereCap {
-	standing, ok := a.manager.Peek(organisation)
+	status, ok := a.manager.Peek(organisation)
 	if !ok {
 		return nil
 	}
 	return &pb.WhereCap{
-		RatePerS:     standing.Cap.RatePerS,
-		Burst:        standing.Cap.Burst,
-		Held:         uint32(standing.Held),
-		OwnsPart:     standing.OwnsPart,
-		PartTokens:   standing.PartTokens,
-		DemandPerS:   standing.DemandPerS,
-		Refusing:     standing.Refused,
-		RetryAfterMs: uint32(standing.RetryAfter.Milliseconds()),
+		RatePerS:     status.Cap.RatePerS,
+		Burst:        status.Cap.Burst,
+		Held:         uint32(status.Held),
+		OwnsPart:     status.OwnsPart,
+		PartTokens:   status.PartTokens,
+		DemandPerS:   status.DemandPerS,
+		Refusing:     status.Refused,
+		RetryAfterMs: uint32(status.RetryAfter.Milliseconds()),
 	}
 }
--- a/internal/quota/peek.go
+++ b/internal/quota/peek.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Standing is what a node knows about an organisation's cap.
-type Standing struct {
+// CapStatus is what a node knows about an organisation's cap.
+type CapStatus struct {
 	Cap Cap
 	// Held is the number of tokens that this node holds.
 	Held int
@@ -22,12 +22,12 @@
 	RetryAfter time.Duration
 }
 
-// Peek returns the standing of an organisation without taking a token. It returns false if
-// the organisation has no cap.
-func (m *Manager) Peek(organisation string) (Standing, bool) {
+// Peek returns the status of an organisation's cap without taking a token. It returns
+// false if the organisation has no cap.
+func (m *Manager) Peek(organisation string) (CapStatus, bool) {
 	c, ok := m.caps.Load().caps[organisation]
 	if !ok {
-		return Standing{}, false
+		return CapStatus{}, false
 	}
 	s, p, now := m.shardOf(organisation), m.placement.Load(), time.Now()
 	s.mu.Lock()
@@ -37,26 +37,28 @@
 		h = known.copy()
 	}
 	h.numbers = func() uint64 { return 0 } // the messages of the copy aren't sent
-	standing := Standing{Cap: c, Held: h.held(now)}
+	status := CapStatus{Cap: c, Held: h.held(now)}
 	if now.Sub(h.demandAt) < idleTime {
-		standing.DemandPerS = h.demand
+		status.DemandPerS = h.demand
 	}
 	if held, active := p.active(h.slot, now); active {
 		h.bucket.refill(now, p, held, h.cap, h.limits)
-		standing.OwnsPart, standing.PartTokens = true, h.bucket.level
+		status.OwnsPart, status.PartTokens = true, h.bucket.level
 	}
 	var e effects
 	waiter := s.waiter + 1 // no request that waits has this number
 	h.acquire(now, p, waiter, &e)
 	for _, r := range e.results {
 		if r.waiter == waiter && !r.ok && !r.starting {
-			standing.Refused, standing.RetryAfter = true, r.retryAfter
+			status.Refused, status.RetryAfter = true, r.retryAfter
 		}
 	}
-	return standing, true
+	return status, true
 }
 
-// copy returns a holder whose steps don't change h.
+// copy returns a holder whose steps don't change h. The asks of its parts are shared with h,
+// so steps of the copy may only replace part.ask; timeout changes the ask itself and must not
+// be called on a copy.
 func (h *holder) copy() holder {
 	c := *h
 	c.tokens = slices.Clone(h.tokens)
--- a/internal/quota/peek_test.go
+++ b/internal/quota/peek_test.go
@@ -24,13 +24,13 @@
 			messages, owners := f.messages.Load(), 0
 			for _, m := range f.managers {
 				for range 100 {
-					standing, _ := m.Peek("acme")
-					So(standing.Refused, ShouldBeFalse)
-					So(standing.Cap, ShouldResemble, Cap{RatePerS: 2, Burst: 2})
+					status, _ := m.Peek("acme")
+					So(status.Refused, ShouldBeFalse)
+					So(status.Cap, ShouldResemble, Cap{RatePerS: 2, Burst: 2})
 				}
-				if standing, _ := m.Peek("acme"); standing.OwnsPart {
+				if status, _ := m.Peek("acme"); status.OwnsPart {
 					owners++
-					So(standing.PartTokens, ShouldBeGreaterThanOrEqualTo, 1)
+					So(status.PartTokens, ShouldBeGreaterThanOrEqualTo, 1)
 				}
 			}
 			So(owners, ShouldEqual, 1)
@@ -44,12 +44,12 @@
 				}
 			}
 			So(refused, ShouldBeTrue)
-			standing, _ := f.managers[1].Peek("acme")
+			status, _ := f.managers[1].Peek("acme")
 			again, _ := f.managers[1].Peek("acme")
-			So(again, ShouldResemble, standing)
+			So(again, ShouldResemble, status)
 			retryAfter, refused := f.managers[1].Begin("acme").Refused()
-			So(standing.Refused, ShouldEqual, refused)
-			So(standing.RetryAfter, ShouldEqual, retryAfter)
+			So(status.Refused, ShouldEqual, refused)
+			So(status.RetryAfter, ShouldEqual, retryAfter)
 			time.Sleep(5 * time.Second)
 			for _, m := range f.managers {
 				_, _ = m.Peek("acme")
