--- a/internal/gate/refusal_test.go
+++ b/internal/gate/refusal_test.go
@@ -80,7 +80,8 @@
 			virtualtime.Test(t, func(*testing.T) {
 				g := New(Options{Instance: "i", Incarnation: 1})
 				g.SetServer(&Server{Service: "s", Address: "127.0.0.1:1", Slots: 2, Connections: 3})
-				g.limiter.serviceTimes.Add("", 100*time.Millisecond, 1)
+				g.limiter.acquire(context.Background(), slotRequest{deadline: time.Now().Add(time.Minute)})
+				g.limiter.release(runResult{holdTime: 100 * time.Millisecond, slowdownFactor: 1, completed: true})
 				for range c.running + c.waiting {
 					go g.limiter.acquire(context.Background(), slotRequest{deadline: time.Now().Add(time.Minute)})
 					synctest.Wait()
