--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -31,9 +31,6 @@
 
 func keyOf(r *Request) shareKey { return shareKey{r.Class, r.Organisation} }
 
-// sameShare reports whether two requests belong to the same share.
-func sameShare(a, b *Request) bool { return keyOf(a) == keyOf(b) }
-
 func (s *shares) add(r *Request, running, waiting int) {
 	if s.byKey == nil {
 		s.byKey = make(map[shareKey]share)
--- a/internal/ctl/where.go
+++ b/internal/ctl/where.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -49,10 +51,20 @@
 
 // runWhere asks an entry what it would decide about a request.
 func runWhere(ctx context.Context, s *session) error {
-	aboutRequest := s.question.GetHost() != "" || s.question.GetPath() != ""
-	if s.question.GetRequestId() != "" && aboutRequest || s.question.GetRequestId() == "" && (s.question.GetHost() == "" || s.question.GetPath() == "") {
+	if s.question.GetRequestId() == "" && (s.question.GetHost() == "" || s.question.GetPath() == "") {
 		return s.usageError("expected -host and -path, or -request")
 	}
+	if s.question.GetRequestId() != "" {
+		var unused []string
+		s.flags.Visit(func(f *flag.Flag) {
+			if slices.Contains([]string{"host", "path", "method", "organisation"}, f.Name) {
+				unused = append(unused, "-"+f.Name)
+			}
+		})
+		if len(unused) > 0 {
+			return s.usageError("expected -host and -path, or -request: -request can't be used with %s", strings.Join(unused, ", "))
+		}
+	}
 	if err := s.separateInstance(); err != nil {
 		return err
 	}
@@ -77,8 +89,8 @@
 	if reply.GetUnreachable() != "" {
 		return errkind.New(pb.ErrorKind_ERROR_KIND_TIMEOUT, "the entry of %s couldn't be asked", reply.GetInstance())
 	}
-	if s.question.GetRequestId() != "" && !remembers(reply) {
-		return errkind.New(pb.ErrorKind_ERROR_KIND_NOT_FOUND, "no entry that was asked remembers the request")
+	if s.question.GetRequestId() != "" && !hasRecord(reply) {
+		return errkind.New(pb.ErrorKind_ERROR_KIND_NOT_FOUND, "no entry that was asked has the request among its recent ones")
 	}
 	return nil
 }
@@ -106,7 +118,7 @@
 		return nil
 	}
 	if s.question.GetRequestId() != "" {
-		s.printMemories(reply.GetMemories())
+		s.printRecentRequests(reply.GetRecentRequests())
 		return nil
 	}
 	s.printDecision(reply.GetInstance(), reply.GetDecision())
@@ -230,6 +242,6 @@
 	return []string{answer, microsecondsText(offer.GetWaitUs()), serviceTime, microsecondsText(offer.GetRoundTripUs())}
 }
 
-func microsecondsText(us uint32) string {
+func microsecondsText[T uint32 | uint64](us T) string {
 	return fmt.Sprintf("%.1f ms", float64(us)/1000)
 }
--- a/internal/entry/where.go
+++ b/internal/entry/where.go
@@ -30,18 +30,18 @@
 
 // Reasons why a candidate is or isn't chosen, besides those of package balance.
 const (
-	reasonBestOffer    = "chosen: best offer"
-	reasonPickedByLoad = "chosen: picked by load data, without offers"
-	reasonRegion       = "region not allowed"
-	reasonEjected      = "ejected"
-	reasonCold         = "cold"
-	reasonNoOffer      = "no offer arrived"
-	reasonOtherStart   = "its offer is of another start of the node"
-	reasonNotAsked     = "not asked: others were asked first"
-	reasonOtherRegion  = "not asked: other regions are asked only when the own one refuses or answers late"
-	reasonNotPicked    = "not picked"
-	reasonNotTaken     = "can't be taken: the byte budget for other regions is used up, or the server has left"
-	reasonRefusedEarly = "not asked: the request is refused before"
+	reasonBestOffer        = "chosen: best offer"
+	reasonPickedByLoad     = "chosen: picked by load data, without offers"
+	reasonRegion           = "region not allowed"
+	reasonEjected          = "ejected"
+	reasonCold             = "cold"
+	reasonNoOffer          = "no offer arrived"
+	reasonOtherIncarnation = "its offer is of another incarnation of the node"
+	reasonNotAsked         = "not asked: others were asked first"
+	reasonOtherRegion      = "not asked: other regions are asked only when the own one refuses or answers late"
+	reasonNotPicked        = "not picked"
+	reasonNotTaken         = "can't be taken: the byte budget for other regions is used up, or the server has left"
+	reasonRefusedEarly     = "not asked: the request is refused before"
 )
 
 // inspection records how a request would be placed. A nil inspection records nothing.
@@ -49,6 +49,8 @@
 	replies map[*balance.Endpoint]inspectedReply
 	// offers are the offers that the request would receive.
 	offers []balance.EndpointOffer
+	// notTaken is the endpoint whose offer was the best, but couldn't be taken; nil: none.
+	notTaken *balance.Endpoint
 	// untilTarget is the time until the target when the endpoint was chosen.
 	untilTarget time.Duration
 	// further is set while gates are asked that a request wouldn't ask.
@@ -71,6 +73,13 @@
 	}
 }
 
+// recordNotTaken records that the endpoint's offer was the best, but couldn't be taken.
+func (i *inspection) recordNotTaken(endpoint *balance.Endpoint) {
+	if i != nil {
+		i.notTaken = endpoint
+	}
+}
+
 // Where returns what this entry would decide about a request that arrives now. The request
 // isn't sent, and nothing is reserved or counted. It fails if the question can't be a
 // request, or names an organisation that the configuration doesn't have.
@@ -306,11 +315,13 @@
 	case asked && reply.Offer == nil:
 		return reasonNoOffer
 	case asked && !isOfferOf(reply.Reply, endpoint):
-		return reasonOtherStart
+		return reasonOtherIncarnation
 	case asked && reply.Offer.GetRefused():
 		return balance.ReasonRefuses
-	case asked && x.offer == nil:
+	case asked && endpoint == x.inspection.notTaken:
 		return reasonNotTaken
+	case asked && x.offer == nil:
+		return reasonNotPicked
 	case asked:
 		return balancer.Reason(x.inspection.offers, endpoint, x.offer.Endpoint, x.inspection.untilTarget)
 	case x.balancer.Placer() == nil || x.handler.options.Offers == nil:
