member: an unanswered confirmation is reported and starts no syncs

Cause: found in review. When the comparison that confirms the end of the syncs got no answer, syncs began again, failed, were confirmed, and so on, while each confirmation replaced a round that would have reported the member. A reply that the budget had cut counted as that of an equal table. Change: an unanswered confirmation starts a check of the member, no syncs, and replaces no round; neither does one that the budget refused. A reply whose table hash differs counts as different, with or without the hashes of buckets. Result: TestSyncConfirmationFails fails before (syncs again after 300 ms) and passes; the package passes.

--- a/internal/member/options.go
+++ b/internal/member/options.go
@@ -29,10 +29,11 @@
 	// syncTimeout bounds one call of a sync. It is several times the round trip between
 	// regions.
 	syncTimeout = 200 * time.Millisecond
-	// syncPatience is how long a node waits for the result of a sync before it asks another
+	// nextSyncDelay is how long a node waits for the result of a sync before it asks another
 	// member as well. It is longer than the round trip between regions.
-	syncPatience = 60 * time.Millisecond
-	// confirmDelay is how long after its syncs a node compares its table once more.
+	nextSyncDelay = 60 * time.Millisecond
+	// confirmDelay is how long after its syncs a node compares its table once more. The
+	// members whose syncs began together have ended theirs by then.
 	confirmDelay = 100 * time.Millisecond
 	// directTimeout and indirectTimeout bound the direct and the indirect step of a
 	// check.
@@ -106,7 +107,8 @@
 	// node's syncs, and failedSyncs that without an answer.
 	equalSyncs  = 2
 	failedSyncs = 5
-	// maxRunningSyncs bounds the syncs that a node runs at the same time.
+	// maxRunningSyncs bounds the syncs that a node runs at the same time, so that three lost
+	// messages in a row don't stop them all.
 	maxRunningSyncs = 3
 	// syncRegionPercent is the percentage of syncs with members of the own region.
 	syncRegionPercent = 67
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -50,7 +50,7 @@
 
 // syncUntilEqual syncs with one random member after the other until equalSyncs tables in
 // succession were equal to this node's, which hasn't changed since. While syncs transfer
-// few records, the pauses between them grow. After syncPatience without a result the next
+// few records, the pauses between them grow. After nextSyncDelay without a result the next
 // member is asked meanwhile: one lost message would otherwise stop this node's syncs for
 // syncTimeout.
 func (l *List) syncUntilEqual() {
@@ -129,19 +129,29 @@
 		l.mu.Unlock()
 		return
 	}
-	l.skipRound = true
 	l.mu.Unlock()
-	if result := l.sync(partner); result.failed || result.differed {
-		l.mu.Lock()
-		defer l.mu.Unlock()
+	result := l.sync(partner)
+	switch {
+	case result.refused:
+		return
+	case result.failed:
+		// The next round isn't replaced, and no syncs follow: while several members don't
+		// answer, they would follow each other and take the budget of the checks.
+		l.Report(partner.Instance, partner.Incarnation, false)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.skipRound = true
+	if result.differed {
 		l.startSync()
 	}
 }
 
 // awaitSync waits for a result of the running syncs. It reports false if there is none
-// within syncPatience and another sync may run.
+// within nextSyncDelay and another sync may run.
 func (l *List) awaitSync(results <-chan syncResult, running int) (result syncResult, ok bool) {
-	timer := time.NewTimer(syncPatience)
+	timer := time.NewTimer(nextSyncDelay)
 	defer timer.Stop()
 	late := timer.C
 	if running >= maxRunningSyncs {
@@ -193,7 +203,8 @@
 			return result
 		}
 		result.transferred += len(request.Records) + len(reply.Records)
-		result.differed = result.differed || len(reply.BucketHashes) > 0
+		// A reply that the budget has cut names its table's hash but not those of the buckets.
+		result.differed = result.differed || request.TableHash != 0 && reply.TableHash != request.TableHash
 		next, done := l.handleReply(reply, expected, stage == syncKeys, bucketsOfNext(stage), maxSyncRecords)
 		if done || stage == syncRecords {
 			return result
--- a/internal/member/sync_test.go
+++ b/internal/member/sync_test.go
@@ -97,3 +97,18 @@
 		})
 	}
 }
+
+// Guards against syncs that follow each other without end while members don't answer, and
+// take the budget of the checks that find them dead.
+func TestSyncConfirmationFails(t *testing.T) {
+	withPair(t, "region0", func(c *cluster, x, y *node) {
+		startSyncs(x)
+		await(time.Second, func() bool { return !isSyncing(x) })
+		c.setPartition(func(a, b *node) bool { return a != b })
+		again := await(time.Second, func() bool { return isSyncing(x) })
+		Convey("A confirmation that gets no answer starts no syncs, but a check", t, func() {
+			So(again, ShouldBeLessThan, 0)
+			So(x.list.View().Get("y").Status, ShouldNotEqual, alive)
+		})
+	})
+}
