--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -66,7 +66,8 @@
 	// AwaitColdBounds makes the gate refuse requests until SetColdBounds has been called,
 	// since a cold server might not take them.
 	AwaitColdBounds bool
-	// ClientOptions overrides the limits of the connections to the backend server.
+	// ClientOptions overrides the limits of the connections to the backend server. Its Dial
+	// also opens those to the health endpoint.
 	ClientOptions wire.ClientOptions
 	// MaxAttemptRecords bounds the number of attempts whose state is kept; 0:
 	// DefaultMaxAttemptRecords.
@@ -157,7 +158,7 @@
 		options := g.options.ClientOptions
 		options.MaxConns = server.Connections
 		options.ServerID = server.ID
-		next := &backendServer{Server: *server, client: wire.NewClient(options), prober: newHealthProber(options.Headers)}
+		next := &backendServer{Server: *server, client: wire.NewClient(options), prober: newHealthProber(options.Headers, options.Dial)}
 		g.server.Store(next)
 		g.limiter.configure(effectiveSlots(server), next.prober.headers.RateLimit != "")
 		g.askIfCold(next)
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -74,20 +74,23 @@
 	pausedUntil time.Time
 }
 
-func newHealthProber(headers *wire.Headers) *healthProber {
+// newHealthProber returns a prober that reads the headers of that name. dial opens its
+// connections; nil: the default of net/http.
+func newHealthProber(headers *wire.Headers, dial wire.DialFunc) *healthProber {
 	if headers == nil {
 		headers = wire.DefaultHeaders()
 	}
 	return &healthProber{
 		headers:    headers,
-		client:     http.Client{Transport: newProbeTransport()},
-		coldClient: http.Client{Transport: newProbeTransport()},
+		client:     http.Client{Transport: newProbeTransport(dial)},
+		coldClient: http.Client{Transport: newProbeTransport(dial)},
 		limiter:    rate.NewLimiter(maxProbesPerS-probeBurst, probeBurst),
 	}
 }
 
-func newProbeTransport() *http.Transport {
+func newProbeTransport(dial wire.DialFunc) *http.Transport {
 	return &http.Transport{
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 1,
 		MaxConnsPerHost:     1,
 		IdleConnTimeout:     wire.DefaultIdleTimeout,
