standin: cold servers that say so, load with an API key

Cause: the fault soak can't have cold servers or withdrawn keys: the stand-in server doesn't tell that it is cold, and the load generator sends no key.

Change: egretserver -report-cold tells in announcements and in the header Egret-Cold-Ms of the health endpoint how long the ramp of -cold-for still takes; the fault "chill" starts it anew, as before. Traffic has the field api_key, sent as a bearer token. Both are off by default. The announcement is encoded each time it is sent, so NewAnnouncer returns no error any more.

--- a/cmd/egretserver/flags.go
+++ b/cmd/egretserver/flags.go
@@ -101,6 +101,7 @@
 	flag.Int64Var(&options.AnswerBytes, "answer-bytes", defaultAnswerBytes, "length of an answer")
 	flag.DurationVar(&options.ColdFor, "cold-for", 0, "duration of the ramp after a cold start")
 	flag.Float64Var(&options.ColdFactor, "cold-factor", 5, "service time at a cold start, as a multiple of the usual")
+	flag.BoolVar(&options.ReportCold, "report-cold", false, "tell the node in announcements and health answers how long the ramp still takes")
 	flag.Var(linkDelays(options.Links), "links", "one-way delays from regions and data centres, `place=delay,...`")
 	flag.Var(linkRates(options.LinkRates), "link-rates", "bytes a second each way that links to regions and data centres carry, `place=bytes,...`")
 	flag.StringVar(&options.CallerAddress, "caller", "", "caller address of the node (`host:port`), for lookups")
--- a/cmd/egretserver/main.go
+++ b/cmd/egretserver/main.go
@@ -107,10 +107,7 @@
 	if node == "" {
 		return func() {}, nil
 	}
-	announcer, err := server.NewAnnouncer(node, address.String())
-	if err != nil {
-		return nil, err
-	}
+	announcer := server.NewAnnouncer(node, address.String())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -254,6 +254,9 @@
 	if o.Key != "" {
 		header.Set(wire.HeaderIdempotencyKey, o.Key)
 	}
+	if o.APIKey != "" {
+		header.Set("Authorization", "Bearer "+o.APIKey)
+	}
 	if o.FirstSend {
 		header.Set(wire.HeaderFirstSend, "true")
 	}
--- a/internal/loadgen/operation.go
+++ b/internal/loadgen/operation.go
@@ -52,7 +52,9 @@
 	Method  string
 	Path    string
 	// Key is the Idempotency-Key, empty for none.
-	Key         string
+	Key string
+	// APIKey is sent as a bearer token, empty for none.
+	APIKey      string
 	BodyBytes   int64
 	AnswerBytes int64
 	// Depth is the number of lookups in the chain below the operation; each is a
@@ -145,6 +147,7 @@
 		Service:     t.GetService(),
 		Method:      http.MethodGet,
 		Path:        t.GetPath(),
+		APIKey:      t.GetApiKey(),
 		AnswerBytes: int64(t.GetAnswerBytes()),
 		BodyBytes:   int64(t.GetBodyBytes()),
 	}
--- a/internal/loadgen/run_test.go
+++ b/internal/loadgen/run_test.go
@@ -169,6 +169,9 @@
 			So([]bool{twice.FirstSend, keyless.FirstSend}, ShouldResemble, []bool{false, false})
 			header := (&Caller{}).newRequest(Target{}, (&Operation{Key: "k"}).forAttempt(0)).Header
 			So(header.Get(wire.HeaderFirstSend), ShouldEqual, "true")
+			So(header, ShouldNotContainKey, "Authorization")
+			withAPIKey := newOperation(&pb.Traffic{Kind: "browse", Service: "s", ApiKey: "secret"}, "op")
+			So((&Caller{}).newRequest(Target{}, withAPIKey).Header.Get("Authorization"), ShouldEqual, "Bearer secret")
 		})
 		Convey("An order sent twice concurrently has both results in its entry", t, func() {
 			experiment := experimentOf(KindOrder, step)
--- a/internal/standin/backend/announce.go
+++ b/internal/standin/backend/announce.go
@@ -21,28 +21,27 @@
 // Announcer announces the server to the node on the same instance.
 type Announcer struct {
 	url    string
-	body   []byte
-	client *http.Client
+	server *Server
+	// announcement is what is announced, without the remaining cold time.
+	announcement *pb.Announcement
+	client       *http.Client
 }
 
 // NewAnnouncer returns an Announcer that tells the node with the announce address
 // nodeAddress that the server listens on address.
-func (s *Server) NewAnnouncer(nodeAddress, address string) (*Announcer, error) {
-	body, err := protojson.Marshal(&pb.Announcement{
-		Service:     s.options.Service,
-		Address:     address,
-		Slots:       uint32(s.options.Slots),
-		Connections: uint32(s.options.Connections),
-		HealthPath:  "/health",
-	})
-	if err != nil {
-		return nil, eris.Wrap(err, "announcement")
-	}
+func (s *Server) NewAnnouncer(nodeAddress, address string) *Announcer {
 	return &Announcer{
 		url:    "http://" + nodeAddress + "/announce",
-		body:   body,
+		server: s,
+		announcement: &pb.Announcement{
+			Service:     s.options.Service,
+			Address:     address,
+			Slots:       uint32(s.options.Slots),
+			Connections: uint32(s.options.Connections),
+			HealthPath:  "/health",
+		},
 		client: &http.Client{Timeout: announceTimeout},
-	}, nil
+	}
 }
 
 // Run announces the server every second until ctx ends. It calls onChange with the
@@ -52,7 +51,7 @@
 	defer ticker.Stop()
 	failing := false
 	for {
-		err := a.send(ctx, http.MethodPost, a.body)
+		err := a.announce(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -68,6 +67,15 @@
 	}
 }
 
+func (a *Announcer) announce(ctx context.Context) error {
+	a.announcement.WarmupLeftMs = a.server.reportedColdMs()
+	body, err := protojson.Marshal(a.announcement)
+	if err != nil {
+		return eris.Wrap(err, "announcement")
+	}
+	return a.send(ctx, http.MethodPost, body)
+}
+
 // Withdraw tells the node that the server is stopping.
 func (a *Announcer) Withdraw(ctx context.Context) error {
 	return a.send(ctx, http.MethodDelete, nil)
--- a/internal/standin/backend/health.go
+++ b/internal/standin/backend/health.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/standin/wire"
 )
 
 // loadSnapshot is the load that the load and health endpoints report. The load lag
@@ -65,6 +67,9 @@
 
 func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	_, draining := s.currentLoad()
+	if s.options.ReportCold {
+		w.Header().Set(wire.HeaderColdTime, strconv.FormatUint(uint64(s.reportedColdMs()), 10))
+	}
 	switch s.faults.Load().GetLoadLie() {
 	case pb.LoadLie_LOAD_LIE_HEALTHY:
 		draining = false
--- a/internal/standin/backend/node_test.go
+++ b/internal/standin/backend/node_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -27,9 +28,8 @@
 			calls <- call{method: r.Method + " " + r.URL.Path, body: body}
 		}))
 		defer node.Close()
-		s := newServer(Options{Service: "orders", Slots: 7, Connections: 9})
-		announcer, err := s.NewAnnouncer(strings.TrimPrefix(node.URL, "http://"), "127.0.0.1:1")
-		So(err, ShouldBeNil)
+		s := newServer(Options{Service: "orders", Slots: 7, Connections: 9, ColdFor: time.Hour, ReportCold: true})
+		announcer := s.NewAnnouncer(strings.TrimPrefix(node.URL, "http://"), "127.0.0.1:1")
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -46,6 +46,7 @@
 		So(announcement.GetAddress(), ShouldEqual, "127.0.0.1:1")
 		So(announcement.GetSlots(), ShouldEqual, 7)
 		So(announcement.GetConnections(), ShouldEqual, 9)
+		So(announcement.GetWarmupLeftMs(), ShouldBeBetween, 3_000_000, 3_600_001)
 		So(announcer.Withdraw(t.Context()), ShouldBeNil)
 		So((<-calls).method, ShouldEqual, "DELETE /announce")
 	})
--- a/internal/standin/backend/options.go
+++ b/internal/standin/backend/options.go
@@ -49,6 +49,9 @@
 	// linearly to 1 over ColdFor. Default factor 5.
 	ColdFor    time.Duration
 	ColdFactor float64
+	// ReportCold makes announcements and the health endpoint tell how much of ColdFor is
+	// left.
+	ReportCold bool
 	// Links holds the one-way delay from other regions and data centres; that of
 	// the data centre takes precedence.
 	Links map[string]time.Duration
--- a/internal/standin/backend/server_test.go
+++ b/internal/standin/backend/server_test.go
@@ -149,6 +149,22 @@
 			s.SetFaults(&pb.ServerFaults{Chill: true})
 			So(timeOf(s), ShouldEqual, 50*time.Millisecond)
 		})
+		Convey("A cold server tells its health endpoint's callers how long it stays cold, if it reports that", t, func() {
+			coldMs := func(s *Server) string {
+				w := httptest.NewRecorder()
+				s.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/health", nil))
+				return w.Header().Get(wire.HeaderColdTime)
+			}
+			s := newServer(Options{ColdFor: 3 * time.Second, ReportCold: true})
+			So(coldMs(s), ShouldEqual, "3000")
+			time.Sleep(time.Second + time.Microsecond)
+			So(coldMs(s), ShouldEqual, "2000")
+			time.Sleep(2 * time.Second)
+			So(coldMs(s), ShouldEqual, "0")
+			s.SetFaults(&pb.ServerFaults{Chill: true})
+			So(coldMs(s), ShouldEqual, "3000")
+			So(coldMs(newServer(Options{ColdFor: 3 * time.Second})), ShouldEqual, "")
+		})
 		Convey("Straggling, a changed mean and the delay from the caller's place apply to the service time", t, func() {
 			s := newServer(Options{Mean: 10 * time.Millisecond, Links: map[string]time.Duration{"south": 20 * time.Millisecond, "dc-b": time.Millisecond}})
 			So(timeOf(s, wire.HeaderPlace, "south"), ShouldEqual, 50*time.Millisecond)
--- a/internal/standin/backend/work.go
+++ b/internal/standin/backend/work.go
@@ -31,12 +31,25 @@
 // coldFactor returns the factor of the cold start ramp, which falls linearly from the
 // configured one to 1.
 func (s *Server) coldFactor(now time.Time) float64 {
-	age := now.Sub(*s.warmupStart.Load())
-	if age >= s.options.ColdFor {
+	left := s.coldLeft(now)
+	if left == 0 {
 		return 1
 	}
-	remaining := 1 - float64(age)/float64(s.options.ColdFor)
-	return 1 + (s.options.ColdFactor-1)*remaining
+	return 1 + (s.options.ColdFactor-1)*float64(left)/float64(s.options.ColdFor)
+}
+
+// coldLeft returns the time until the end of the cold start ramp.
+func (s *Server) coldLeft(now time.Time) time.Duration {
+	return max(0, s.options.ColdFor-now.Sub(*s.warmupStart.Load()))
+}
+
+// reportedColdMs returns the milliseconds for which the server reports to stay cold,
+// rounded up.
+func (s *Server) reportedColdMs() uint32 {
+	if !s.options.ReportCold {
+		return 0
+	}
+	return uint32((s.coldLeft(time.Now()) + time.Millisecond - 1) / time.Millisecond)
 }
 
 // occurs returns true with a probability in percent.
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -50,6 +50,7 @@
 	HeaderError          = "Egret-Error"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderFirstSend      = "Egret-First-Send"
+	HeaderColdTime       = "Egret-Cold-Ms"
 )
 
 // FormatTimeout formats the remaining time for the timeout header: whole
