wire: a broken reused connection retires the others to that node

Idle connections between nodes are reused for 30 s again. When a node had lost power without closing them, each failed one request: of six requests two were answered, POSTs ended as 503 after eight connections and GETs as 502. Change: when a reused connection between nodes breaks, other than by a timeout or by its caller, the idle connections to that node aren't used any more. Result: TestRestartedPeer, eight idle connections: eight requests failed before, at most one after.

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -165,7 +165,10 @@
 		err = errors.Join(ctx.Err(), err)
 	}
 	silent := errors.Is(err, errSilent)
-	if silent {
+	// The peer of a reused connection that broke has probably restarted, or a device on the
+	// way lost its state: then the other idle connections would fail one request each.
+	isBroken := c.options.BetweenNodes && cn.reused && ctx.Err() == nil && !IsTimeout(err)
+	if silent || isBroken {
 		c.Retire(s.Addr)
 	}
 	return nil, &SendError{Sent: x.sent, Silent: silent, cause: err}
