entry: a withdrawn request may go back to the gate at which it waited

Cause: found in review. The gate that a request was withdrawn from counted as one that had refused it. If the other gate refused after its offer, the request was refused (503 after 50 ms), although it would have been served after 599 ms where it had waited. An answer that overtook the reply to the withdrawal hid it. Change: that gate may be asked again, and an overtaken withdrawal counts. A query about an attempt whose caller has gone doesn't retire the connections to its gate.

--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -54,6 +54,9 @@
 // lose the answer to any other.
 func (a *remoteAttempt) checkConnection(ctx context.Context, _ time.Duration, _ bool) wire.Verdict {
 	for range maxQueryFailures {
+		if ctx.Err() != nil {
+			return wire.VerdictWait // the wait ends, and the connection may be sound
+		}
 		reply, err := a.query(ctx)
 		switch {
 		case errors.Is(err, errNoControlClient):
--- a/internal/entry/withdrawal.go
+++ b/internal/entry/withdrawal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/egretfield/egretfield/internal/balance"
@@ -28,6 +29,8 @@
 type waitWatch struct {
 	cancel context.CancelFunc
 	done   chan struct{}
+	// instance is that of the gate at which the attempt waits.
+	instance string
 	// found is the offer of the gate that the request goes to after its withdrawal; nil if it
 	// wasn't withdrawn. It is valid once done is closed.
 	found *balance.EndpointOffer
@@ -43,7 +46,7 @@
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	w := &waitWatch{cancel: cancel, done: make(chan struct{})}
+	w := &waitWatch{cancel: cancel, done: make(chan struct{}), instance: endpoint.Instance}
 	go func() {
 		defer close(w.done)
 		w.found = x.withdrawWaiting(ctx, placer, endpoint, attempt)
@@ -75,6 +78,11 @@
 		}
 		query, reply := &pb.AttemptQuery{AttemptId: attempt.String()}, &pb.AttemptReply{}
 		err := x.handler.options.ControlClient.Call(ctx, endpoint.ControlAddress, gate.MethodWithdraw, query, reply)
+		if err != nil && ctx.Err() != nil {
+			// The answer to the attempt came first. If it says that the request wasn't run, it may
+			// be that of the withdrawal.
+			return chosen
+		}
 		if err != nil || reply.State != pb.AttemptState_ATTEMPT_STATE_NOT_RUN {
 			return nil // it has started, or its node doesn't reply or has an older build
 		}
@@ -90,6 +98,8 @@
 		return
 	}
 	x.attempts--
+	// The gate hasn't refused the request, which may come back to it.
+	x.tried = slices.DeleteFunc(x.tried, func(instance string) bool { return instance == w.instance })
 	x.withdrawals++
 	x.withdrawnTo = w.found
 	x.pending.Outcome = balance.OutcomeCancelled
