--- a/internal/hedge/plan.go
+++ b/internal/hedge/plan.go
@@ -10,8 +10,8 @@
 	// twelve helps a late response aren't worth the work that they add.
 	maxPrice = 1
 	minPrice = 0.08
-	// priceStep is the rise of the price with each hedged attempt, and half of that with each
-	// one withheld. The price follows a change of the load within some hundred requests.
+	// priceStep is the rise of the price with each hedged attempt, sent or denied by the limit,
+	// and half of that with each one withheld. The price follows a change of the load within some hundred requests.
 	priceStep = 0.02
 )
 
