--- a/internal/entry/where.go
+++ b/internal/entry/where.go
@@ -111,7 +111,7 @@
 	return decision, nil
 }
 
-// newInspection returns an exchange for a question, with a request that nobody sent.
+// newInspection returns an exchange for a question. Its request is never sent.
 func (h *Handler) newInspection(ctx context.Context, question *pb.WhereRequest) (*exchange, error) {
 	path := question.GetPath()
 	if !strings.HasPrefix(path, "/") {
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -411,7 +411,7 @@
 		}
 		if n.joinedAt <= s.now {
 			n.aloneSince = -1
-		} else { // a node that reaches nobody joins alone after some time, if the log can be read
+		} else { // a node that reaches no other joins alone after some time, if the log can be read
 			if n.aloneSince < 0 {
 				n.aloneSince = s.now
 			}
