review: case 10, a raised limit stops a whole configuration

Cause: a configuration with more than 64 KiB of headers for consumers is refused whole, although the store acknowledged it and the pages name no upper bound.

--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -248,6 +248,62 @@
 	return breaks, nil
 }
 
+// raisedLimit: a new version adds a route and raises the limit of consumers' headers.
+func raisedLimit(e *environment, trouble bool) ([]string, error) {
+	const (
+		configApply = 2500 * time.Millisecond
+		raised      = 128 << 10
+	)
+	for range 3 {
+		if _, err := e.addMachine("taipei", "catalogue"); err != nil {
+			return nil, err
+		}
+	}
+	old := route{Host: drawingsHost, Prefix: "/leny950/", Kind: "idempotent", Timeout: "1000ms", Target: "400ms", Rank: 0, Service: "catalogue", Tries: 2}
+	added := old
+	added.Prefix = "/puka111/"
+	e.publish(7, map[string]route{"r-old": old})
+	if err := e.awaitReady(); err != nil {
+		return nil, err
+	}
+	limit := maxHeaderBytes
+	if trouble {
+		limit = raised
+	}
+	e.publishLimits(9, map[string]route{"r-old": old, "r-new": added}, limit)
+	acked := e.record.since()
+	time.Sleep(configApply + 500*time.Millisecond)
+	wrong, served := 0, 0
+	for n := range 90 {
+		m := e.machines[n%len(e.machines)]
+		prefix := []string{"/leny950", "/puka111"}[n%2]
+		c, err := dial(m)
+		if err != nil {
+			return nil, err
+		}
+		r := c.send("GET", drawingsHost, fmt.Sprintf("%s/w20-b500/%d", prefix, n), time.Second)
+		for end := time.Now().Add(time.Second); c.outstanding() > 0 && time.Now().Before(end); {
+			time.Sleep(2 * time.Millisecond)
+		}
+		c.nc.Close()
+		switch {
+		case r.status == 200:
+			served++
+		case r.status == 404 && n%2 == 1 && r.sentAt > acked+configApply:
+			wrong++
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	e.record.logf("%d of 90 requests were served, %d of 45 on the new route got 404 later than %s after the ack", served, wrong, configApply)
+	if served == 0 {
+		return nil, fmt.Errorf("no request was served")
+	}
+	if wrong == 0 {
+		return nil, nil
+	}
+	return []string{fmt.Sprintf("CONFIG: %d of 45 requests on a route of the newest version got 404 later than %s after its ack, up to %.1f s after it", wrong, configApply, (e.record.since() - acked).Seconds())}, nil
+}
+
 // runsOf returns the servers that ran a request.
 func (e *environment) runsOf(id string) []string {
 	var servers []string
--- a/review/_standin2/env.go
+++ b/review/_standin2/env.go
@@ -154,18 +154,26 @@
 	Tries   int    `json:"attempts"`
 }
 
+// maxHeaderBytes is `max-header-bytes` as the pages show it.
+const maxHeaderBytes = 16384
+
 // publish writes a configuration as the operator does.
 func (e *environment) publish(version int, routes map[string]route) {
+	e.publishLimits(version, routes, maxHeaderBytes)
+}
+
+// publishLimits is publish with a limit of its own for consumers' headers.
+func (e *environment) publishLimits(version int, routes map[string]route, maxHeaderBytes int) {
 	services := map[string]any{}
 	for _, r := range routes {
 		services[r.Service] = map[string]any{"health-path": "/healthz", "max-connections": 240, "protocol": "h1", "tls": false}
 	}
 	value, _ := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": services,
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout": "3000ms", "idle-timeout": "15000ms"},
+		"limits": map[string]any{"max-header-bytes": maxHeaderBytes, "max-body-bytes": 67108864, "header-timeout": "3000ms", "idle-timeout": "15000ms"},
 	})
 	e.store.Append("keyed.op", "config", value)
-	e.record.logf("operator: configuration %d is written", version)
+	e.record.logf("operator: configuration %d is written, with %d routes and max-header-bytes %d", version, len(routes), maxHeaderBytes)
 }
 
 // addMachine adds a machine with a server of a service and starts both.
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -22,6 +22,7 @@
 	"cut-behind":    cutBehind,
 	"deadly-upload": deadlyUpload,
 	"deadly-pair":   deadlyPair,
+	"raised-limit":  raisedLimit,
 }
 
 func main() { os.Exit(runCase()) }
