entry, pipeline: the limit of callers' headers is that of the version in force

Cause: the HTTP servers of the request path had a fixed limit, and config.Check refused a whole configuration that asked for more.

Evidence: the follower logs "configuration change refused", caller_limits.max_header_bytes: got 131072, expected at most 65536 bytes.

Change: the connection of a caller refuses a head above the limit in force with 431 itself; net/http's limits lie above the largest that a configuration may set, 1 MiB.

--- a/internal/config/rules_routes.go
+++ b/internal/config/rules_routes.go
@@ -5,12 +5,13 @@
 	"strings"
 
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/wire"
 )
 
 // Limits of request routes and of requests from callers.
 const (
 	maxWeight            = 1_000_000
-	maxCallerHeaderBytes = 64 << 10 // limit of the HTTP server
+	maxCallerHeaderBytes = wire.MaxHeaderBytes
 )
 
 // checkRequestRoutes checks the routes by host and path. The keys of services are the
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/egretfield/egretfield/internal/balance"
 	"github.com/egretfield/egretfield/internal/once"
 	"github.com/egretfield/egretfield/internal/peer"
+	"github.com/egretfield/egretfield/internal/pipeline"
 	"github.com/egretfield/egretfield/internal/quarantine"
 	"github.com/egretfield/egretfield/internal/retry"
 	"github.com/egretfield/egretfield/internal/wire"
@@ -132,6 +133,16 @@
 	return h
 }
 
+// CallerLimits returns the limits in force on what callers send. Until the first
+// configuration is known, they are the widest that one may set.
+func (h *Handler) CallerLimits() pipeline.Limits {
+	routes := h.routes.Load()
+	if routes == nil {
+		return pipeline.Limits{HeaderBytes: wire.MaxHeaderBytes}
+	}
+	return pipeline.Limits{HeaderBytes: routes.limits.headerBytes}
+}
+
 // SetRoutes activates a routing snapshot. The snapshot must not be shared with
 // another Handler. The state of services that stay configured is kept.
 func (h *Handler) SetRoutes(routes *Routes) {
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// maxHeaderBytes limits the size of a caller's header.
-	maxHeaderBytes = 32 << 10
 	// maxKeyBytes limits the length of an idempotency key.
 	maxKeyBytes = 255
 	// bodyIdleTimeout ends a request whose body makes no progress for this time.
--- a/internal/entry/requestroute.go
+++ b/internal/entry/requestroute.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/pipeline"
 )
 
 // requestRoute maps the requests for a host and path prefix to weighted services.
@@ -137,7 +138,7 @@
 
 func newCallerLimits(from *pb.CallerLimits) callerLimits {
 	return callerLimits{
-		headerBytes: cmp.Or(int(from.GetMaxHeaderBytes()), maxHeaderBytes),
+		headerBytes: cmp.Or(int(from.GetMaxHeaderBytes()), pipeline.DefaultHeaderBytes),
 		bodyBytes:   int64(from.GetMaxBodyBytes()),
 	}
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -75,6 +75,7 @@
 		Concurrent:  int(n.settings.GetPipelining().GetConcurrent()),
 		UnreadBytes: int(n.settings.GetPipelining().GetUnreadKib()) << 10,
 		AnswerBytes: int(n.settings.GetPipelining().GetAnswerKib()) << 10,
+		Limits:      n.entry.CallerLimits,
 		Logger:      n.logger.Named("callers"),
 		Meter:       options.Metrics.Meter(),
 	})
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -10,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/wire"
 )
 
@@ -51,6 +53,8 @@
 	busy bool
 	// handled reports whether the handler was given that request.
 	handled bool
+	// refused reports whether that request was refused because its head is too large.
+	refused bool
 	// aborted reports whether the handler broke off its answer.
 	aborted bool
 	// pending holds bytes that were read but belong to later requests.
@@ -79,9 +83,9 @@
 func newConn(nc net.Conn, server *Server) *conn {
 	c := &conn{Conn: nc, server: server, wake: make(chan struct{}, 1), lastUsed: time.Now()}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.framer = newFramer(maxHeadBytes)
+	c.framer = server.newFramer()
 	c.framer.state = atEnd
-	c.ahead = newFramer(maxHeadBytes)
+	c.ahead = server.newFramer()
 	return c
 }
 
@@ -90,6 +94,15 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	n, err := c.read(p)
+	if err == errHeadTooLarge {
+		c.refuseHead()
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+func (c *conn) read(p []byte) (int, error) {
 	for {
 		c.mu.Lock()
 		if c.mayBeginLocked() && (c.readErr != nil || c.noMore) {
@@ -141,7 +154,7 @@
 	if c.framer.state != atEnd || c.busy {
 		return
 	}
-	c.framer = newFramer(maxHeadBytes)
+	c.framer = c.server.newFramer()
 	c.arrived, c.busy, c.handled = arrived, true, false
 }
 
@@ -152,7 +165,7 @@
 	n, err := c.framer.scan(data[:min(len(data), len(p))])
 	copy(p, data[:n])
 	c.pending.discard(n)
-	c.ahead, c.scanned = newFramer(maxHeadBytes), 0
+	c.ahead, c.scanned = c.server.newFramer(), 0
 	return c.resultLocked(n, err)
 }
 
@@ -163,13 +176,27 @@
 	if err != nil {
 		c.noMore, c.readErr = true, err
 	}
-	if n > 0 {
+	switch {
+	case c.framer.head.tooLarge:
+		return 0, errHeadTooLarge
+	case n > 0:
 		return n, nil
 	}
-	if c.readErr != nil {
-		return 0, c.readErr
-	}
-	return 0, io.EOF // the head is longer than net/http accepts
+	return 0, c.readErr
+}
+
+// errHeadTooLarge ends the read of a request whose head exceeds the limit.
+var errHeadTooLarge = eris.New("request header too large")
+
+// refuseHead answers the request whose head is too large. net/http has not got the whole
+// head, and gets no more of it.
+func (c *conn) refuseHead() {
+	c.mu.Lock()
+	c.refused, c.pipelined = true, true
+	limit := c.framer.maxHeadBytes - wire.HeaderSlackBytes
+	c.mu.Unlock()
+	message := fmt.Sprintf("the request header has more than %d bytes, the limit is %d", c.framer.maxHeadBytes, limit)
+	_, _ = c.Conn.Write(errorAnswer(pb.ErrorKind_ERROR_KIND_HEADERS_TOO_LARGE, message)) // the connection closes in any case
 }
 
 // readRequest reads bytes of the current or the next request into p. What lies behind
@@ -301,8 +328,11 @@
 // Write implements io.Writer and replaces net/http's own error answers.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	handled := c.handled
+	handled, refused := c.handled, c.refused
 	c.mu.Unlock()
+	if refused {
+		return len(p), nil // net/http's answer to the part of the head that it got
+	}
 	if !handled {
 		if answer := replacementAnswer(p); answer != nil {
 			_, err := c.Conn.Write(answer)
--- a/internal/pipeline/framer.go
+++ b/internal/pipeline/framer.go
@@ -59,6 +59,8 @@
 	chunked       bool
 	// ambiguous tells why the end of the request is uncertain; empty if it is certain.
 	ambiguous string
+	// tooLarge reports whether the head exceeds the limit.
+	tooLarge bool
 	// closes reports whether the connection carries no request after this one.
 	closes bool
 	// oldVersion reports whether the request has an HTTP version before 1.1.
@@ -128,8 +130,8 @@
 	case inHead:
 		f.headBytes += n
 		if f.headBytes > f.maxHeadBytes {
-			// net/http refuses the head when it has read that far.
-			f.head.ambiguous, f.head.closes = "request header too large", true
+			f.head.tooLarge, f.head.closes = true, true
+			f.head.ambiguous = "request header too large"
 			f.state = atEnd
 		}
 	case inTrailer:
--- a/internal/pipeline/framer_test.go
+++ b/internal/pipeline/framer_test.go
@@ -14,6 +14,9 @@
 )
 
 // drawRequest draws a well-formed request.
+// maxHeadBytes limits the heads in tests of the framer.
+const maxHeadBytes = 80 << 10
+
 func drawRequest(t *rapid.T) string {
 	var raw strings.Builder
 	method := rapid.SampledFrom([]string{"GET", "HEAD", "POST", "PUT", "OPTIONS", "DELETE"}).Draw(t, "method")
--- a/internal/pipeline/queue.go
+++ b/internal/pipeline/queue.go
@@ -37,7 +37,7 @@
 		q := &queued{conn: c, request: request, arrived: c.pending.arrival(), turn: make(chan struct{})}
 		c.noMore = c.ahead.head.closes
 		c.pending.discard(len(head))
-		c.ahead, c.scanned = newFramer(maxHeadBytes), 0
+		c.ahead, c.scanned = c.server.newFramer(), 0
 		ctx, cancel := context.WithCancel(context.WithValue(c.ctx, placeKey{}, place(q)))
 		q.cancel = cancel
 		q.request = request.WithContext(ctx)
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -6,6 +6,7 @@
 package pipeline
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -21,10 +22,6 @@
 	"github.com/egretfield/egretfield/internal/wire"
 )
 
-// maxHeadBytes is the size of a head above which no more of it is passed to net/http. It
-// is larger than what net/http reads, so that net/http refuses the request.
-const maxHeadBytes = wire.MaxHeaderBytes + 16<<10
-
 // Defaults of Options.
 const (
 	// DefaultDepth is low enough that a caller can't take a large share of a service by
@@ -34,6 +31,8 @@
 	DefaultConcurrent  = 256
 	DefaultUnreadBytes = 64 << 10
 	DefaultAnswerBytes = 64 << 10
+	// DefaultHeaderBytes is the default of Limits.HeaderBytes.
+	DefaultHeaderBytes = 32 << 10
 )
 
 const (
@@ -60,12 +59,23 @@
 	// AnswerBytes is the size up to which an answer waits for its turn in memory. A
 	// longer one waits at its server.
 	AnswerBytes int
+	// Limits returns the limits in force. It is called for each request and must not block;
+	// nil: the defaults.
+	Limits func() Limits
 	// Logger receives panics of the handler; nil disables logging.
 	Logger *zap.Logger
 	// Meter creates the metrics; nil disables them.
 	Meter metric.Meter
 }
 
+// Limits bound what callers may send.
+type Limits struct {
+	// HeaderBytes limits the size of a request's header, at most wire.MaxHeaderBytes; zero:
+	// DefaultHeaderBytes. The handler refuses headers that exceed it by less than
+	// wire.HeaderSlackBytes, the Server larger ones.
+	HeaderBytes int
+}
+
 func (o *Options) setDefaults() {
 	for _, option := range []struct {
 		value        *int
@@ -80,6 +90,9 @@
 			*option.value = option.defaultValue
 		}
 	}
+	if o.Limits == nil {
+		o.Limits = func() Limits { return Limits{} }
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
@@ -213,6 +226,11 @@
 	return true
 }
 
+// newFramer returns a framer for the next request under the limits in force.
+func (s *Server) newFramer() framer {
+	return newFramer(cmp.Or(s.options.Limits().HeaderBytes, DefaultHeaderBytes) + wire.HeaderSlackBytes)
+}
+
 // SetStopping announces a stop: no more requests are served ahead of their turn, so that
 // the answer to each may close its connection.
 func (s *Server) SetStopping() { s.sequential.Store(true) }
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -9,9 +9,11 @@
 const (
 	// ReadHeaderTimeout closes a connection whose request header arrives too slowly.
 	ReadHeaderTimeout = 5 * time.Second
-	// MaxHeaderBytes is the size above which net/http stops reading a header, with a few
-	// KiB of slack. The entry's own limit is lower by default and never higher.
-	MaxHeaderBytes = 64 << 10
+	// MaxHeaderBytes is the largest limit of callers' headers that a configuration may set.
+	MaxHeaderBytes = 1 << 20
+	// HeaderSlackBytes is the room above a limit of callers' headers for what the limit
+	// doesn't count, and for the headers that nodes add.
+	HeaderSlackBytes = 16 << 10
 	// ServerIdleTimeout closes connections without a request. It is longer than the
 	// default idle timeout of a Client, so that nodes seldom send a request on a
 	// connection that is being closed.
@@ -23,7 +25,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: ReadHeaderTimeout,
-		MaxHeaderBytes:    MaxHeaderBytes,
+		MaxHeaderBytes:    MaxHeaderBytes + HeaderSlackBytes,
 		IdleTimeout:       ServerIdleTimeout,
 	}
 }
