config: a limit above a bound doesn't keep a platform's version out of force

Cause: a replacement that the operators' own system has acknowledged was refused as a whole like a file that an operator can still change.

--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -12,8 +12,9 @@
 // Limits of a configuration.
 const (
 	maxCallDepth             = 64
-	maxDeadlineMs            = 600_000  // ten minutes
-	maxBodyBytes             = 16 << 30 // 16 GiB
+	maxDeadlineMs            = 600_000    // ten minutes
+	maxRequestTimeMs         = 86_400_000 // a day, as callers may ask for
+	maxBodyBytes             = 16 << 30   // 16 GiB
 	maxAttempts              = 10
 	maxPercent               = 100
 	maxQueuePercent          = 1000
@@ -27,6 +28,9 @@
 )
 
 var (
+	// serviceNamePattern is the form of the name of a service that is no host name.
+	serviceNamePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
 	namePattern   = regexp.MustCompile(`^[a-z][a-z0-9_-]{0,62}$`)
 	hostPattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?(\.[a-z0-9]([a-z0-9-]*[a-z0-9])?)*$`)
 	methodPattern = regexp.MustCompile(`^[A-Z]{1,20}$`)
@@ -39,7 +43,7 @@
 		c.addf("", "no configuration")
 		return c.problems
 	}
-	services := c.checkServices(config.GetServices())
+	services := c.checkServices(config.GetServices(), config.GetRequestRoutesOnly())
 	c.checkRequestRoutes(config.GetRequestRoutes(), services)
 	c.checkOrganisations(config.GetOrganisations())
 	c.checkRegions(config)
@@ -56,15 +60,20 @@
 	}
 }
 
-// checkServices checks the services and returns the path of each by name.
-func (c *checker) checkServices(services []*pb.Service) map[string]string {
+// checkServices checks the services and returns the path of each by name. Unless only
+// request routes select services, the names are host names, too.
+func (c *checker) checkServices(services []*pb.Service, requestRoutesOnly bool) map[string]string {
 	names := map[string]string{}
 	if len(services) == 0 {
 		c.addf("services", "expected at least one service")
 	}
 	for i, service := range services {
 		path := fmt.Sprintf("services[%d]", i)
-		c.checkName(path+".name", service.GetName())
+		if !requestRoutesOnly {
+			c.checkName(path+".name", service.GetName())
+		} else if !serviceNamePattern.MatchString(service.GetName()) {
+			c.addf(path+".name", "got %q, expected a name of letters, digits, ., - and _ that starts with a letter or digit", service.GetName())
+		}
 		c.checkUnique(path+".name", service.GetName(), names)
 	}
 	hosts := map[string]string{}
--- a/internal/config/rules_routes.go
+++ b/internal/config/rules_routes.go
@@ -47,8 +47,8 @@
 	if _, ok := pb.Class_name[int32(route.GetClass())]; !ok {
 		c.addf(path+".class", "got %d, expected CLASS_BACKGROUND, CLASS_NORMAL or CLASS_CRITICAL", route.GetClass())
 	}
-	c.checkMax(path+".timeout_ms", uint64(route.GetTimeoutMs()), maxDeadlineMs, "ms")
-	c.checkMax(path+".target_latency_ms", uint64(route.GetTargetLatencyMs()), maxDeadlineMs, "ms")
+	c.checkMax(path+".timeout_ms", uint64(route.GetTimeoutMs()), maxRequestTimeMs, "ms")
+	c.checkMax(path+".target_latency_ms", uint64(route.GetTargetLatencyMs()), maxRequestTimeMs, "ms")
 	c.checkMax(path+".max_attempts", uint64(route.GetMaxAttempts()), maxAttempts, "attempts")
 }
 
--- a/internal/configlog/apply.go
+++ b/internal/configlog/apply.go
@@ -84,6 +84,7 @@
 	f.source = source
 	f.wakeWaiters()
 	f.metrics.state(f.folded)
+	f.metrics.adjust(len(Adjusted(f.folded)))
 	if f.target >= 0 && f.folded.FoldedThrough >= f.target {
 		f.serving = true
 	}
@@ -141,10 +142,17 @@
 	}
 }
 
-// logEntry logs a refused change. Accepted ones are logged when they come into
-// force.
+// logEntry logs a refused change, and the limits of an accepted one that are applied as a
+// bound. Other accepted changes are logged when they come into force.
 func (f *Follower) logEntry(entry *pb.AuditEntry) {
-	if entry == nil || entry.GetAccepted() {
+	if entry == nil {
+		return
+	}
+	if entry.GetAccepted() {
+		if len(entry.GetAdjusted()) > 0 {
+			f.logger.Warn("limits of the configuration above a bound", zap.Int64("offset", entry.GetOffset()),
+				zap.String("operator", entry.GetOperator()), zap.Strings("adjusted", entry.GetAdjusted()))
+		}
 		return
 	}
 	f.logger.Info("configuration change refused",
--- a/internal/configlog/audit.go
+++ b/internal/configlog/audit.go
@@ -75,6 +75,11 @@
 	return entry
 }
 
+// Adjusted returns the limits of the version in force that are applied as a bound.
+func Adjusted(state State) []string {
+	return state.auditEntryAt(state.Version()).GetAdjusted()
+}
+
 // refuseConflict refuses a change that conflicts with the accepted one at offset
 // winner.
 func refuseConflict(entry *pb.AuditEntry, state State, winner int64) {
--- a/internal/configlog/metrics.go
+++ b/internal/configlog/metrics.go
@@ -21,6 +21,7 @@
 	pullsFailed  metric.Int64Counter
 	divergences  metric.Int64Counter
 	evacuations  metric.Int64Gauge
+	adjusted     metric.Int64Gauge
 }
 
 // newMetrics creates the metrics with meter. If meter is nil, they record nothing.
@@ -37,6 +38,7 @@
 	m.pullsFailed, _ = meter.Int64Counter("egretfield.config.pulls_failed")
 	m.divergences, _ = meter.Int64Counter("egretfield.config.divergences")
 	m.evacuations, _ = meter.Int64Gauge("egretfield.config.evacuations")
+	m.adjusted, _ = meter.Int64Gauge("egretfield.config.adjusted_limits", metric.WithDescription("Limits of the version in force that exceed a bound of the node and are applied as that bound."))
 	return m
 }
 
@@ -74,6 +76,11 @@
 	m.divergences.Add(context.Background(), 1)
 }
 
+// adjust records the number of limits in force that were brought down to a bound.
+func (m *metrics) adjust(count int) {
+	m.adjusted.Record(context.Background(), int64(count))
+}
+
 // evacuated records the number of data centres whose evacuation is in force.
 func (m *metrics) evacuated(count int) {
 	m.evacuations.Record(context.Background(), int64(count))
--- a/internal/configlog/replace.go
+++ b/internal/configlog/replace.go
@@ -1,6 +1,8 @@
 package configlog
 
 import (
+	"fmt"
+
 	"github.com/egretfield/egretfield/internal/config"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/platformlog"
@@ -17,11 +19,13 @@
 		return next, nil
 	}
 	entry := newEntry(message, record)
-	if reason := checkReplacement(state, replacement, record.Offset); reason != nil {
+	replacement, adjusted, reason := admitReplacement(state, replacement, record.Offset)
+	if reason != nil {
 		refuse(entry, reason.kind, reason.message)
 		next.Config = withAudit(state.Config, entry)
 		return next, entry
 	}
+	entry.Adjusted = adjustedTexts(adjusted)
 	changed := accept(state, entry)
 	changed.Config = replacement
 	changed.Preset = replacement.GetDefaultPreset()
@@ -36,19 +40,40 @@
 	message string
 }
 
-// checkReplacement returns the reason why replacement, at offset, can't replace the
-// configuration of state, or nil.
-func checkReplacement(state State, replacement *pb.Config, offset int64) *refusal {
+// admitReplacement returns the configuration that replaces that of state by replacement,
+// at offset, and the limits of it that were brought down to a bound. It returns the reason
+// if there is no such configuration.
+func admitReplacement(state State, replacement *pb.Config, offset int64) (*pb.Config, []config.Problem, *refusal) {
 	version := replacement.GetOperatorVersion()
 	// Operators write again what a log lost that came back from an older copy.
 	isRewrite := version == state.OperatorVersion() && platformlog.EraOf(offset) > platformlog.EraOf(state.Version())
 	if version <= state.OperatorVersion() && !isRewrite {
-		return &refusal{pb.ErrorKind_ERROR_KIND_CONFLICT, "the version isn't above the one in force"}
+		return nil, nil, &refusal{pb.ErrorKind_ERROR_KIND_CONFLICT, "the version isn't above the one in force"}
+	}
+	if config.Check(replacement) == nil {
+		return replacement, nil, nil
 	}
-	if err := config.Check(replacement); err != nil {
-		return &refusal{pb.ErrorKind_ERROR_KIND_INVALID_CONFIG, err.Error()}
+	fitted, adjusted := config.Fit(replacement)
+	if err := config.Check(fitted); err != nil {
+		return nil, nil, &refusal{pb.ErrorKind_ERROR_KIND_INVALID_CONFIG, err.Error()}
 	}
-	return nil
+	return fitted, adjusted, nil
+}
+
+// maxAdjusted limits the adjusted values that an audit entry lists.
+const maxAdjusted = 20
+
+// adjustedTexts returns the first of the adjusted values as text, and how many more there
+// are.
+func adjustedTexts(adjusted []config.Problem) []string {
+	var texts []string
+	for i, problem := range adjusted {
+		if i == maxAdjusted {
+			return append(texts, fmt.Sprintf("and %d more", len(adjusted)-maxAdjusted))
+		}
+		texts = append(texts, truncate(problem.String()))
+	}
+	return texts
 }
 
 // stateFromNewest returns the state at the end of a stream, of which records has the
@@ -59,7 +84,8 @@
 	newest := newestReplacement(records)
 	for i, record := range records {
 		message, failed := decode(record)
-		if failed != nil || i != newest && (message.GetEvacuate() == nil || !isFromPlatform(message)) {
+		isEvacuation := message.GetEvacuate() != nil && isFromPlatform(message)
+		if failed != nil || i != newest && !isEvacuation {
 			continue
 		}
 		state.FoldedThrough = record.Offset - 1
@@ -75,7 +101,10 @@
 	for i := len(records) - 1; i >= 0; i-- {
 		message, failed := decode(records[i])
 		replacement := message.GetReplace().GetConfig()
-		if failed == nil && replacement != nil && checkReplacement(Empty(), replacement, records[i].Offset) == nil {
+		if failed != nil || replacement == nil {
+			continue
+		}
+		if _, _, reason := admitReplacement(Empty(), replacement, records[i].Offset); reason == nil {
 			return i
 		}
 	}
--- a/internal/ctl/audit.go
+++ b/internal/ctl/audit.go
@@ -45,6 +45,9 @@
 		line += " (" + entry.GetReason() + ")"
 	}
 	s.printf("%s", line)
+	for _, text := range entry.GetAdjusted() {
+		s.printf("  limit above a bound: %s", text)
+	}
 	if s.listChanges {
 		s.printChanges(entry)
 	}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -46,9 +46,13 @@
 			Node:        node,
 			Fleet:       status,
 			Evacuated:   configlog.Evacuated(state.Config),
+			Adjusted:    configlog.Adjusted(state),
 		})
 	}
 	s.printf("%s", inForce(state))
+	for _, text := range configlog.Adjusted(state) {
+		s.printf("limit above a bound: %s", text)
+	}
 	if len(state.Config.GetDraining()) > 0 {
 		s.printf("draining: %s", strings.Join(state.Config.GetDraining(), ", "))
 	}
