configlog: the newest version that no node can apply shows to operators

Operators whose own system shows a version as the newest couldn't see that no node acts by it: status named only the version in force, and a node that started later had no trace of the refusal.

Cause: the verdict was only in the audit trail, and a start from the newest records left refused ones out. The chain of such a node differed, too, from that of one that had folded a malformed record.

Change: status prints it, egretfield_config_newest_refused is 1, the log line is a warning; a starting node folds refused records after the newest valid one.

--- a/internal/configlog/apply.go
+++ b/internal/configlog/apply.go
@@ -84,7 +84,7 @@
 	f.source = source
 	f.wakeWaiters()
 	f.metrics.state(f.folded)
-	f.metrics.adjust(len(Adjusted(f.folded)))
+	f.metrics.unapplied(Unapplied(f.folded) != nil, len(Adjusted(f.folded)))
 	if f.target >= 0 && f.folded.FoldedThrough >= f.target {
 		f.serving = true
 	}
@@ -155,7 +155,11 @@
 		}
 		return
 	}
-	f.logger.Info("configuration change refused",
+	level := zap.InfoLevel
+	if isUnusable(entry) {
+		level = zap.WarnLevel
+	}
+	f.logger.Log(level, "configuration change refused",
 		zap.Int64("offset", entry.GetOffset()),
 		zap.String("operator", entry.GetOperator()),
 		zap.Stringer("kind", entry.GetRefusal()),
--- a/internal/configlog/audit.go
+++ b/internal/configlog/audit.go
@@ -75,6 +75,24 @@
 	return entry
 }
 
+// isUnusable reports whether a refused record could never have been accepted: it is
+// malformed or not a valid configuration.
+func isUnusable(entry *pb.AuditEntry) bool {
+	return entry.GetRefusal() == pb.ErrorKind_ERROR_KIND_INVALID_CONFIG || entry.GetRefusal() == pb.ErrorKind_ERROR_KIND_BAD_REQUEST
+}
+
+// Unapplied returns the audit entry of the newest record after the version in force that
+// no node can apply, or nil. The operators' own system may show it as the newest version.
+func Unapplied(state State) *pb.AuditEntry {
+	trail := state.Config.GetAudit()
+	for i := len(trail) - 1; i >= 0 && trail[i].GetOffset() > state.Version(); i-- {
+		if !trail[i].GetAccepted() && isUnusable(trail[i]) {
+			return trail[i]
+		}
+	}
+	return nil
+}
+
 // Adjusted returns the limits of the version in force that are applied as a bound.
 func Adjusted(state State) []string {
 	return state.auditEntryAt(state.Version()).GetAdjusted()
--- a/internal/configlog/bounds_test.go
+++ b/internal/configlog/bounds_test.go
@@ -39,6 +39,7 @@
 		So(config.GetCallerLimits().GetMaxHeaderBytes(), ShouldEqual, 1<<20)
 		weights := []uint32{route.GetServices()[0].GetWeight(), route.GetServices()[1].GetWeight()}
 		So(weights, ShouldResemble, []uint32{1_000_000, 333_333})
+		So(Unapplied(state), ShouldBeNil)
 		So(Adjusted(state), ShouldHaveLength, 9)
 		So(Adjusted(state)[0], ShouldEqual, "services[0].cold_ms: 3600000 is above the bound, 600000 applies")
 		So(Adjusted(before), ShouldBeEmpty)
@@ -55,3 +56,33 @@
 		So(last(state).GetRefusal(), ShouldEqual, invalid)
 	})
 }
+
+// Guards against a version that is refused without a trace for operators, whose own system
+// shows it as the newest.
+func TestRefusedVersionIsShown(t *testing.T) {
+	unusable := func(offset, operatorVersion int64) platformlog.Record {
+		config := testConfig(1)
+		config.OperatorVersion, config.Services = operatorVersion, nil
+		return at(offset, &pb.ConfigRecord{Change: &pb.ConfigRecord_Replace{Replace: &pb.Replace{Config: config}}})
+	}
+	malformed := func(offset int64) platformlog.Record {
+		return platformlog.Record{Offset: offset, Data: []byte{0xff}}
+	}
+	Convey("The newest version that no node can apply is shown until a later one is in force", t, func() {
+		for _, refused := range []platformlog.Record{unusable(2, 6), malformed(2)} {
+			state, _ := Fold(Empty(), replacementOf(1, 5))
+			So(Unapplied(state), ShouldBeNil)
+			state, _ = Fold(state, refused)
+			So(state.OperatorVersion(), ShouldEqual, 5)
+			So(Unapplied(state).GetOffset(), ShouldEqual, 2)
+			started := newestOf(3, replacementOf(1, 5), refused)
+			So(Unapplied(started).GetOffset(), ShouldEqual, 2)
+			So(started.Chain, ShouldEqual, state.Chain)
+			state, _ = Fold(state, replacementOf(3, 7))
+			So(Unapplied(state), ShouldBeNil)
+		}
+		stale, _ := Fold(Empty(), replacementOf(1, 5))
+		stale, _ = Fold(stale, replacementOf(2, 4))
+		So(Unapplied(stale), ShouldBeNil)
+	})
+}
--- a/internal/configlog/metrics.go
+++ b/internal/configlog/metrics.go
@@ -21,6 +21,7 @@
 	pullsFailed  metric.Int64Counter
 	divergences  metric.Int64Counter
 	evacuations  metric.Int64Gauge
+	refused      metric.Int64Gauge
 	adjusted     metric.Int64Gauge
 }
 
@@ -38,6 +39,7 @@
 	m.pullsFailed, _ = meter.Int64Counter("egretfield.config.pulls_failed")
 	m.divergences, _ = meter.Int64Counter("egretfield.config.divergences")
 	m.evacuations, _ = meter.Int64Gauge("egretfield.config.evacuations")
+	m.refused, _ = meter.Int64Gauge("egretfield.config.newest_refused", metric.WithDescription("1 if the newest configuration is invalid, so that an older version is in force."))
 	m.adjusted, _ = meter.Int64Gauge("egretfield.config.adjusted_limits", metric.WithDescription("Limits of the version in force that exceed a bound of the node and are applied as that bound."))
 	return m
 }
@@ -76,9 +78,15 @@
 	m.divergences.Add(context.Background(), 1)
 }
 
-// adjust records the number of limits in force that were brought down to a bound.
-func (m *metrics) adjust(count int) {
-	m.adjusted.Record(context.Background(), int64(count))
+// unapplied records whether the newest configuration is refused as invalid, and the number
+// of limits in force that were brought down to a bound.
+func (m *metrics) unapplied(isRefused bool, adjusted int) {
+	refused := int64(0)
+	if isRefused {
+		refused = 1
+	}
+	m.refused.Record(context.Background(), refused)
+	m.adjusted.Record(context.Background(), int64(adjusted))
 }
 
 // evacuated records the number of data centres whose evacuation is in force.
--- a/internal/configlog/replace.go
+++ b/internal/configlog/replace.go
@@ -77,15 +77,16 @@
 }
 
 // stateFromNewest returns the state at the end of a stream, of which records has the
-// newest record of each key, sorted by offset: the newest valid replacement, and the
-// evacuations. Every other record was superseded or is neither.
+// newest record of each key, sorted by offset: the newest valid replacement, what was
+// refused after it, and the evacuations. Every other record was superseded or is neither.
 func stateFromNewest(records []platformlog.Record, bounds platformlog.Bounds) State {
 	state := Empty()
 	newest := newestReplacement(records)
 	for i, record := range records {
 		message, failed := decode(record)
 		isEvacuation := message.GetEvacuate() != nil && isFromPlatform(message)
-		if failed != nil || i != newest && !isEvacuation {
+		isRefused := i > newest && (failed != nil || message.GetReplace().GetConfig() != nil)
+		if i != newest && !isRefused && !isEvacuation {
 			continue
 		}
 		state.FoldedThrough = record.Offset - 1
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -46,10 +46,14 @@
 			Node:        node,
 			Fleet:       status,
 			Evacuated:   configlog.Evacuated(state.Config),
+			Unapplied:   configlog.Unapplied(state),
 			Adjusted:    configlog.Adjusted(state),
 		})
 	}
 	s.printf("%s", inForce(state))
+	if entry := configlog.Unapplied(state); entry != nil {
+		s.printf("NOT in force: the change at offset %d by %s was refused: %s", entry.GetOffset(), orNone(entry.GetOperator()), firstLine(entry.GetSummary()))
+	}
 	for _, text := range configlog.Adjusted(state) {
 		s.printf("limit above a bound: %s", text)
 	}
