entry: a limit of callers' bodies above 256 MiB is applied

Uploads within the operator's max-body-bytes got 413 when they were larger than 256 MiB.

Cause: request routes have no body limit, and the default for routes of services was taken as theirs.

Change: the default applies only where neither the route nor the callers' limits have a value.

Failed before: entry.TestRaisedBodyLimit, "Expected: 200, Actual: 413" for 300 MiB with a limit of 1 GiB.

--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -275,7 +275,7 @@
 func (x *exchange) uploadTime() time.Duration {
 	bytes := x.r.ContentLength
 	if bytes < 0 {
-		bytes = x.maxBodyBytes
+		bytes = min(x.maxBodyBytes, DefaultMaxBodyBytes)
 	}
 	return time.Duration(bytes/minUploadBytesPerSecond) * time.Second
 }
--- a/internal/entry/requestroute.go
+++ b/internal/entry/requestroute.go
@@ -132,7 +132,7 @@
 // callerLimits limit what a caller may send.
 type callerLimits struct {
 	headerBytes int
-	// bodyBytes limits the body; zero leaves the limit to the route.
+	// bodyBytes limits the body; zero: the limit of the route, or DefaultMaxBodyBytes.
 	bodyBytes int64
 }
 
@@ -145,8 +145,8 @@
 
 // bodyLimit returns the largest body that the route accepts, in bytes.
 func (l callerLimits) bodyLimit(r *route) int64 {
-	if l.bodyBytes > 0 {
+	if l.bodyBytes > 0 && r.maxBodyBytes > 0 {
 		return min(l.bodyBytes, r.maxBodyBytes)
 	}
-	return r.maxBodyBytes
+	return cmp.Or(l.bodyBytes, r.maxBodyBytes, DefaultMaxBodyBytes)
 }
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -87,7 +87,8 @@
 	// target is the target latency of an answer; zero means none.
 	target time.Duration
 	// maxAttempts limits the attempts; zero uses the service's policy.
-	maxAttempts  int
+	maxAttempts int
+	// maxBodyBytes limits the body; zero leaves that to the limits of callers.
 	maxBodyBytes int64
 	requireKey   bool
 	// authExempt reports whether requests need no API key.
@@ -188,9 +189,6 @@
 	if r.deadline == 0 {
 		r.deadline = DefaultDeadline
 	}
-	if r.maxBodyBytes == 0 {
-		r.maxBodyBytes = DefaultMaxBodyBytes
-	}
 	return r
 }
 
