pipeline: the times for callers' headers and idle connections are those in force

A header had 5 s and an idle connection 90 s, whatever the operator's header-timeout and idle-timeout said: longer ones were cut.

Cause: constants of the HTTP server; the platform's two fields weren't read.

Change: caller_limits has both times, and the caller's connection applies them by the configuration in force. A wait that ends looks once more for bytes that came while the process didn't run, and goes on if a later configuration extended it.

Failed before: pipeline.TestTimeoutsInForce, "Expected '5.00423859s' to be between '250ms' and '900ms'". Passes with the race detector.

--- a/internal/config/fit.go
+++ b/internal/config/fit.go
@@ -31,6 +31,8 @@
 	if limits := fitted.GetCallerLimits(); limits != nil {
 		lower(f, "caller_limits.max_header_bytes", &limits.MaxHeaderBytes, maxCallerHeaderBytes)
 		lower(f, "caller_limits.max_body_bytes", &limits.MaxBodyBytes, maxBodyBytes)
+		lower(f, "caller_limits.header_timeout_ms", &limits.HeaderTimeoutMs, maxRequestTimeMs)
+		lower(f, "caller_limits.idle_timeout_ms", &limits.IdleTimeoutMs, maxRequestTimeMs)
 	}
 	lower(f, "max_call_depth", &fitted.MaxCallDepth, maxCallDepth)
 	if len(f.adjusted) == 0 {
--- a/internal/config/rules_routes.go
+++ b/internal/config/rules_routes.go
@@ -55,4 +55,6 @@
 func (c *checker) checkCallerLimits(limits *pb.CallerLimits) {
 	c.checkMax("caller_limits.max_header_bytes", uint64(limits.GetMaxHeaderBytes()), maxCallerHeaderBytes, "bytes")
 	c.checkMax("caller_limits.max_body_bytes", limits.GetMaxBodyBytes(), maxBodyBytes, "bytes")
+	c.checkMax("caller_limits.header_timeout_ms", uint64(limits.GetHeaderTimeoutMs()), maxRequestTimeMs, "ms")
+	c.checkMax("caller_limits.idle_timeout_ms", uint64(limits.GetIdleTimeoutMs()), maxRequestTimeMs, "ms")
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -140,7 +140,11 @@
 	if routes == nil {
 		return pipeline.Limits{HeaderBytes: wire.MaxHeaderBytes}
 	}
-	return pipeline.Limits{HeaderBytes: routes.limits.headerBytes}
+	return pipeline.Limits{
+		HeaderBytes:   routes.limits.headerBytes,
+		HeaderTimeout: routes.limits.headerTimeout,
+		IdleTimeout:   routes.limits.idleTimeout,
+	}
 }
 
 // SetRoutes activates a routing snapshot. The snapshot must not be shared with
--- a/internal/entry/requestroute.go
+++ b/internal/entry/requestroute.go
@@ -132,6 +132,8 @@
 // callerLimits limit what a caller may send.
 type callerLimits struct {
 	headerBytes int
+	// headerTimeout and idleTimeout are zero for the defaults of package pipeline.
+	headerTimeout, idleTimeout time.Duration
 	// bodyBytes limits the body; zero: the limit of the route, or DefaultMaxBodyBytes.
 	bodyBytes int64
 }
@@ -140,6 +142,9 @@
 	return callerLimits{
 		headerBytes: cmp.Or(int(from.GetMaxHeaderBytes()), pipeline.DefaultHeaderBytes),
 		bodyBytes:   int64(from.GetMaxBodyBytes()),
+
+		headerTimeout: time.Duration(from.GetHeaderTimeoutMs()) * time.Millisecond,
+		idleTimeout:   time.Duration(from.GetIdleTimeoutMs()) * time.Millisecond,
 	}
 }
 
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -21,6 +21,8 @@
 	// fullPoll is the interval at which a connection whose buffer is full is checked for
 	// its end, as reads no longer show it.
 	fullPoll = 100 * time.Millisecond
+	// lastReadWait is how long the last read of a wait takes.
+	lastReadWait = 10 * time.Millisecond
 )
 
 var readBuffers = sync.Pool{New: func() any {
@@ -74,6 +76,9 @@
 	// the answers of the queue.
 	closed, closing bool
 	readDeadline    time.Time
+	// lastRead reports whether a wait for the caller is over, and one more read finds out
+	// whether bytes came in time.
+	lastRead bool
 	// interrupted reports whether a wait for bytes was ended to look at the state.
 	interrupted bool
 	// lastUsed is when the connection was accepted or last answered a request.
@@ -202,13 +207,16 @@
 // readRequest reads bytes of the current or the next request into p. What lies behind
 // its end becomes pending. again reports whether the read must be repeated.
 func (c *conn) readRequest(p []byte) (n int, again bool, err error) {
+	c.limitWait()
 	n, err = c.Conn.Read(p)
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n == 0 && err != nil {
-		return 0, c.resumeLocked(err), c.failedReadLocked(err)
+		again = c.resumeLocked(err) || c.continueWaitLocked(err, now)
+		return 0, again, c.failedReadLocked(err)
 	}
+	c.lastRead = false
 	c.beginLocked(now)
 	taken, err := c.framer.scan(p[:n])
 	if taken < n && err == nil {
@@ -219,6 +227,57 @@
 	return n, false, err
 }
 
+// waitEndLocked returns when the wait for bytes of a caller's request ends by the limits in
+// force; zero: the limits don't end it.
+func (c *conn) waitEndLocked() time.Time {
+	idle, header := c.server.waitLimits()
+	switch {
+	case !c.busy:
+		return c.lastUsed.Add(idle)
+	case c.framer.state == inHead && c.arrived.After(c.lastUsed):
+		return c.arrived.Add(header)
+	case c.framer.state == inHead:
+		return c.lastUsed.Add(header) // it was held back until then
+	}
+	return time.Time{}
+}
+
+// limitWait sets the deadline of a read of the caller's request.
+func (c *conn) limitWait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.interrupted {
+		return // the read ends at once and is repeated
+	}
+	deadline := c.readDeadline
+	if end := c.waitEndLocked(); !end.IsZero() {
+		if soon := time.Now().Add(lastReadWait); end.Before(soon) {
+			end = soon
+		}
+		if deadline.IsZero() || end.Before(deadline) {
+			deadline = end
+		}
+	}
+	_ = c.Conn.SetReadDeadline(deadline) // fails only on a closed connection, as the read shows
+}
+
+// continueWaitLocked reports whether a read that failed must be repeated because the
+// caller's time isn't over: a configuration has extended it, or bytes may have come in time
+// while the process didn't run.
+func (c *conn) continueWaitLocked(err error, now time.Time) bool {
+	end := c.waitEndLocked()
+	isOwn := c.readDeadline.IsZero() || now.Before(c.readDeadline)
+	if !wire.IsTimeout(err) || !isOwn || end.IsZero() {
+		return false
+	}
+	if now.Before(end) {
+		return true
+	}
+	again := !c.lastRead
+	c.lastRead = true
+	return again
+}
+
 // readAhead reads bytes behind the current request and starts the requests in them that
 // may be served ahead.
 func (c *conn) readAhead() error {
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -74,6 +74,12 @@
 	// DefaultHeaderBytes. The handler refuses headers that exceed it by less than
 	// wire.HeaderSlackBytes, the Server larger ones.
 	HeaderBytes int
+	// HeaderTimeout limits the time from the first to the last byte of a header; zero:
+	// wire.ReadHeaderTimeout.
+	HeaderTimeout time.Duration
+	// IdleTimeout is the time without a request after which a connection is closed; zero:
+	// wire.ServerIdleTimeout.
+	IdleTimeout time.Duration
 }
 
 func (o *Options) setDefaults() {
@@ -123,6 +129,7 @@
 	options.setDefaults()
 	s := &Server{handler: handler, options: options, slots: make(chan struct{}, options.Concurrent), conns: map[*conn]struct{}{}}
 	s.http = wire.NewServer(http.HandlerFunc(s.serveSequential))
+	s.http.ReadHeaderTimeout, s.http.IdleTimeout = 0, 0 // the connections apply those in force
 	s.http.ErrorLog = zap.NewStdLog(options.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
 	s.http.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		if c, ok := nc.(*conn); ok {
@@ -231,6 +238,13 @@
 	return newFramer(cmp.Or(s.options.Limits().HeaderBytes, DefaultHeaderBytes) + wire.HeaderSlackBytes)
 }
 
+// waitLimits returns the times for which a connection waits for a request and for the rest
+// of a head under the limits in force.
+func (s *Server) waitLimits() (idle, header time.Duration) {
+	limits := s.options.Limits()
+	return cmp.Or(limits.IdleTimeout, wire.ServerIdleTimeout), cmp.Or(limits.HeaderTimeout, wire.ReadHeaderTimeout)
+}
+
 // SetStopping announces a stop: no more requests are served ahead of their turn, so that
 // the answer to each may close its connection.
 func (s *Server) SetStopping() { s.sequential.Store(true) }
