gate: the head of a health answer has a limit

A backend server that sends bytes without end at its health path filled its node's memory by 10 MiB a probe, and more once parsed into header fields.

Cause: the default limit of http.Transport for the head of an answer.

Change: 16 KiB.

Failed before: gate.TestHealthAnswerWithoutEnd, "Expected '' to be less than '131072'".

--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -35,8 +35,10 @@
 	// up to probeBurst of them may follow each other without a pause.
 	maxProbesPerS = 60
 	probeBurst    = 10
-	// maxHealthBytes bounds the body of a health endpoint's answer.
-	maxHealthBytes = 4 << 10
+	// maxHealthBytes bounds the body of a health endpoint's answer, and
+	// maxHealthHeaderBytes its header.
+	maxHealthBytes       = 4 << 10
+	maxHealthHeaderBytes = 16 << 10
 )
 
 // healthReport is what an answer of a server's health endpoint tells.
@@ -95,6 +97,8 @@
 		MaxConnsPerHost:     1,
 		IdleConnTimeout:     wire.DefaultIdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHealthHeaderBytes,
 	}
 }
 
