entry: a stopping node refuses late requests that it can't wait for

A running request with an idempotency key got no answer at all.

Cause: only the own gate asked whether a request may outlast the stop, not the entry, which sends to other nodes; and requests with a key didn't end with the stop.

Change: from 3 s on, a request whose own deadline is later than the end of the stop is refused at once, certified not run. Requests with a key are answered at the end of the stop.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,9 +92,8 @@
 	requestLogger requestLogger
 	recent        recentRequests
 
-	// stopBy is the time by which every request must be answered because the node is
-	// stopping; nil if it isn't.
-	stopBy atomic.Pointer[time.Time]
+	// stop is nil unless the node is stopping.
+	stop atomic.Pointer[stopTimes]
 	// stopped ends at that time.
 	stopped   context.Context
 	endStop   context.CancelFunc
@@ -195,12 +194,21 @@
 	}
 }
 
+// stopTimes are the times of a stop of the node.
+type stopTimes struct {
+	// late is the time from which requests that may last longer than the stop are refused.
+	late time.Time
+	// by is the time by which every request must be answered.
+	by time.Time
+}
+
 // SetStopping makes every answer close the caller's connection. Later requests are
 // still served, with a deadline no later than the time by: an answer in time, even a
 // refusal, is more useful to a caller than a broken connection. At that time the earlier
-// requests are answered, too.
-func (h *Handler) SetStopping(by time.Time) {
-	h.stopBy.Store(&by)
+// requests are answered, too. From the time late on, a request whose own deadline is later
+// than by is refused: callers have been told to go elsewhere.
+func (h *Handler) SetStopping(late, by time.Time) {
+	h.stop.Store(&stopTimes{late: late, by: by})
 	h.stopTimer.Do(func() { time.AfterFunc(time.Until(by), h.endStop) })
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -42,9 +42,11 @@
 	expectsContinue bool   // the caller sent an Expect header and waits for 100 Continue
 	key             string // idempotency key; empty if there is none
 	maxBodyBytes    int64
-	keyInUse        once.Key // the idempotency key, while its grant is held
-	firstSend       bool     // the caller states that it never sent the key before
-	reservedBytes   int64
+	// mayOutlastStop reports whether the deadline was shortened because the node stops.
+	mayOutlastStop bool
+	keyInUse       once.Key // the idempotency key, while its grant is held
+	firstSend      bool     // the caller states that it never sent the key before
+	reservedBytes  int64
 	// regionsAtArrival are the allowed regions when the request arrived.
 	regionsAtArrival *balance.RegionRules
 	// refusedRegions are the regions whose gates don't allow the request there.
@@ -130,7 +132,7 @@
 		x.serveKeyed()
 		return
 	}
-	x.writeAnswer(x.runUntilStopped())
+	x.writeAnswer(x.runUntilStopped(x.r.Context()))
 }
 
 // noBalancer returns the refusal of a request for a service without a balancer.
@@ -145,8 +147,11 @@
 // runUntilStopped makes attempts until the time for a stop of the node is up. The caller
 // then learns that its request may run on, and answers that wait behind it on the
 // connection are delivered.
-func (x *exchange) runUntilStopped() *wire.Answer {
-	ctx, cancel := context.WithCancelCause(x.r.Context())
+func (x *exchange) runUntilStopped(ctx context.Context) *wire.Answer {
+	if x.cancel != nil {
+		x.cancel(nil) // of a run that starts anew
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
 	release := context.AfterFunc(x.handler.stopped, func() { cancel(errStopped) })
 	answer := x.run(ctx)
 	release() // an answer that has begun may be delivered
@@ -420,7 +425,7 @@
 func (x *exchange) writeAnswer(answer *wire.Answer) {
 	x.countAnswer(answer)
 	x.logRequest(answer)
-	if (x.hasUnreadBody() || x.handler.stopBy.Load() != nil) && pipeline.CloseAfter(x.r) {
+	if (x.hasUnreadBody() || x.handler.stop.Load() != nil) && pipeline.CloseAfter(x.r) {
 		x.w.Header()["Connection"] = []string{"close"}
 	}
 	if answer.Kind == pb.ErrorKind_ERROR_KIND_UNAUTHENTICATED {
--- a/internal/entry/hedging.go
+++ b/internal/entry/hedging.go
@@ -177,7 +177,7 @@
 		Now:      time.Now(),
 		Deadline: x.call.Deadline,
 		Median:   plan.Median,
-		Stopping: x.handler.stopBy.Load() != nil,
+		Stopping: x.handler.stop.Load() != nil,
 		Nested:   x.mayBeNested(),
 		Suspect:  x.handler.options.Quarantine.Suspects(x.call.Fingerprint),
 	})
--- a/internal/entry/hedging_test.go
+++ b/internal/entry/hedging_test.go
@@ -562,7 +562,8 @@
 			return f.send("/x")
 		}},
 		{"while the node stops", "stopping", 20, func(f *hedgeFleet) hedgeAnswer {
-			f.entry.SetStopping(time.Now().Add(time.Second))
+			by := time.Now().Add(time.Second)
+			f.entry.SetStopping(by, by)
 			return f.send("/x")
 		}},
 		{"for a suspect", "suspect", 20, func(f *hedgeFleet) hedgeAnswer {
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -112,7 +112,7 @@
 	if !x.call.Streams() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	answer := x.run(ctx)
+	answer := x.runUntilStopped(ctx)
 	if answer.Kind != 0 {
 		outcome.State = errkind.Of(answer.Kind).Run
 		x.reportOutcomeAndWait(key, grant, outcome)
--- a/internal/entry/pipelining_test.go
+++ b/internal/entry/pipelining_test.go
@@ -421,7 +421,8 @@
 			for range 3 {
 				So(server.begun(), ShouldNotStartWith, "none")
 			}
-			c.entry.SetStopping(time.Now().Add(10 * time.Second))
+			by := time.Now().Add(10 * time.Second)
+			c.entry.SetStopping(by, by)
 			server.release("first")
 			_, body := caller.answer("GET")
 			So(body, ShouldEqual, "GET /wait/first ")
@@ -443,7 +444,8 @@
 				So(server.begun(), ShouldNotStartWith, "none")
 			}
 			started := time.Now()
-			c.entry.SetStopping(started.Add(200 * time.Millisecond))
+			by := started.Add(200 * time.Millisecond)
+			c.entry.SetStopping(by, by)
 			resp, _ := caller.answer("GET")
 			So(time.Since(started), ShouldBeLessThan, 2*time.Second)
 			So(resp.Header.Get("Egret-Error"), ShouldEqual, "deadline_after_send")
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -58,6 +58,9 @@
 			return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_CANCELLED, err.Error())
 		}
 	}
+	if stop := x.handler.stop.Load(); stop != nil && x.mayOutlastStop && time.Now().After(stop.late) {
+		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DRAINING, "the node is stopping and may not wait for the answer")
+	}
 	x.sanitizeHeader()
 	if err := x.prepareBody(); err != nil {
 		return errorAnswer(err)
@@ -253,8 +256,8 @@
 		timeout = min(timeout, x.route.timeout)
 	}
 	x.call.Deadline = x.startTime.Add(timeout)
-	if by := x.handler.stopBy.Load(); by != nil && by.Before(x.call.Deadline) {
-		x.call.Deadline = *by
+	if stop := x.handler.stop.Load(); stop != nil && stop.by.Before(x.call.Deadline) {
+		x.call.Deadline, x.mayOutlastStop = stop.by, true
 	}
 	if x.route.timeout > 0 {
 		x.call.AnswerBy = x.call.Deadline
--- a/internal/entry/request_routes_test.go
+++ b/internal/entry/request_routes_test.go
@@ -69,7 +69,8 @@
 		})
 		Convey("a stopping node answers late requests before its stop deadline", func() {
 			server.answer = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
-			c.entry.SetStopping(time.Now().Add(100 * time.Millisecond))
+			by := time.Now().Add(100 * time.Millisecond)
+			c.entry.SetStopping(by, by)
 			start := time.Now()
 			So(getStatus(c, "a.example", "/x/y/1"), ShouldEqual, http.StatusGatewayTimeout)
 			So(time.Since(start), ShouldBeLessThan, 250*time.Millisecond)
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -20,6 +20,11 @@
 	return timeout * inFlightPercent / 100
 }
 
+// lateRequestTime is the time from the begin of a stop after which a request is refused if
+// it may last longer than the stop. The last requests on connections that were accepted
+// before the listener closed arrive about then.
+const lateRequestTime = 3 * time.Second
+
 // stopReserveDivisor: 1/stopReserveDivisor of the stop timeout is reserved for closing
 // connections, and as much again for the exit of the process.
 const stopReserveDivisor = 20
@@ -38,7 +43,7 @@
 	n.stopping.Store(true)
 	n.callerHTTP.SetStopping()
 	if deadline, ok := ctx.Deadline(); ok {
-		n.entry.SetStopping(deadline)
+		n.entry.SetStopping(time.Now().Add(min(lateRequestTime, timeout/2)), deadline)
 		n.gate.SetStopping(deadline)
 	}
 	// The backend server keeps accepting requests while callers move to other nodes,
