platform: bounds of some deployments come by the environment, kept cases start

Cause: the cases fill plain placeholders only, and sections were the only way to leave out bounds that a deployment doesn't have.

--- a/cmd/egretnode/main.go
+++ b/cmd/egretnode/main.go
@@ -61,7 +61,7 @@
 	// would kill a node that is starting or stopping.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	loaded, err := settings.Load(settingsFile)
+	loaded, err := loadSettings(settingsFile)
 	if err != nil || checkOnly {
 		return err
 	}
@@ -82,6 +82,19 @@
 	return n.Run(ctx)
 }
 
+// loadSettings reads the settings, and on a platform the bounds that it hands over beside
+// the file.
+func loadSettings(file string) (*pb.NodeSettings, error) {
+	loaded, err := settings.Load(file)
+	if err != nil || loaded.GetPlatform() == nil {
+		return loaded, err
+	}
+	if err := platform.ApplyBounds(loaded.GetPlatform(), os.Getenv(platform.BoundsVariable)); err != nil {
+		return nil, errkind.Wrap(pb.ErrorKind_ERROR_KIND_INVALID_CONFIG, err, "bounds of the platform")
+	}
+	return loaded, settings.Check(loaded)
+}
+
 // watchReload reloads the settings file at each SIGHUP.
 func watchReload(ctx context.Context, reload <-chan os.Signal, n *node.Node, settingsFile string) {
 	for {
@@ -89,7 +102,7 @@
 		case <-ctx.Done():
 			return
 		case <-reload:
-			n.Reload(settings.Load(settingsFile))
+			n.Reload(loadSettings(settingsFile))
 		}
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,19 @@
 	return settings, nil
 }
 
+// Check validates settings by the same rules as Parse. The error is of kind invalid config
+// and has one line for each problem.
+func Check(settings *pb.NodeSettings) error {
+	var lines []string
+	for _, found := range check(settings) {
+		lines = append(lines, found.path+": "+found.message)
+	}
+	if len(lines) > 0 {
+		return errkind.New(invalid, "%s", strings.Join(lines, "\n"))
+	}
+	return nil
+}
+
 // Duration returns the value of a validated duration setting, or zero if it is empty.
 func Duration(value string) time.Duration {
 	parsed, err := time.ParseDuration(value)
