pipeline: a connection that a stop closes passes no request on

Around 2.5 s after a SIGTERM a request on a kept connection could run at a server although its connection had been closed: its caller got no answer.

Cause: idleness and close were two steps, and bytes taken from the socket but not noted yet counted in neither.

Change: one step under the lock; a read that ends on a closed connection delivers nothing, and the handler isn't called for a closed one.

Failed before: pipeline.TestStopClosesConnectionDuringRead, "Expected: 1, Actual: 2" (runs of the handler). Passes, three runs with the race detector.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -217,6 +217,9 @@
 		return 0, again, c.failedReadLocked(err)
 	}
 	c.lastRead = false
+	if c.closed {
+		return 0, false, net.ErrClosed // read while it was closed: nobody could get the answer
+	}
 	c.beginLocked(now)
 	taken, err := c.framer.scan(p[:n])
 	if taken < n && err == nil {
@@ -463,15 +466,16 @@
 	}
 }
 
-// isIdle reports whether the connection has had no request since the given time. The
+// closeIfIdle closes the connection if it has had no request since the given time. The
 // beginning of a request counts until then.
-func (c *conn) isIdle(since time.Time) bool {
+func (c *conn) closeIfIdle(since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy && !c.handled {
-		return c.arrived.Before(since)
+	isIdle := !c.busy && len(c.queue) == 0 && c.pending.len() == 0 && c.lastUsed.Before(since)
+	isPartial := c.busy && !c.handled && c.arrived.Before(since)
+	if isIdle || isPartial {
+		_ = c.closeLocked() // the connection has no request
 	}
-	return !c.busy && len(c.queue) == 0 && c.pending.len() == 0 && c.lastUsed.Before(since)
 }
 
 // errClosedAhead is returned to requests whose connection closed before their turn.
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -206,7 +206,11 @@
 	}
 	c.mu.Lock()
 	c.handled = true
+	closed := c.closed
 	c.mu.Unlock()
+	if closed {
+		panic(http.ErrAbortHandler) // nobody could get the answer
+	}
 	if !s.runHandler(w, r) {
 		c.mu.Lock()
 		c.aborted = true
@@ -312,9 +316,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range conns {
-		if c.isIdle(time.Now().Add(-newConnTimeout)) {
-			_ = c.Close() // the connection has no request
-		}
+		c.closeIfIdle(time.Now().Add(-newConnTimeout))
 	}
 	return len(conns)
 }
