entry, pipeline: a planned stop answers everything that was read

Cause: in a stop each answer closed its connection unless a request behind it had been passed on; requests that were read only didn't count.

Change: an answer closes the connection only if nothing was read behind its request. From then on nothing is read. Late in the stop what was read is refused, in order. The test that demanded the drop now demands the answers.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -425,7 +425,8 @@
 func (x *exchange) writeAnswer(answer *wire.Answer) {
 	x.countAnswer(answer)
 	x.logRequest(answer)
-	if (x.hasUnreadBody() || x.handler.stop.Load() != nil) && pipeline.CloseAfter(x.r) {
+	isStopping := x.handler.stop.Load() != nil
+	if x.hasUnreadBody() && pipeline.CloseAfter(x.r) || isStopping && pipeline.CloseIfLast(x.r) {
 		x.w.Header()["Connection"] = []string{"close"}
 	}
 	if answer.Kind == pb.ErrorKind_ERROR_KIND_UNAUTHENTICATED {
--- a/internal/entry/pipelining_test.go
+++ b/internal/entry/pipelining_test.go
@@ -416,7 +416,7 @@
 			}
 			So(c.entry.Running(), ShouldEqual, 0)
 		})
-		Convey("a planned stop answers what was passed on and closes after it", func() {
+		Convey("a planned stop answers everything that was read, and closes after it", func() {
 			caller.send(get("/wait/first") + get("/second") + get("/wait/third"))
 			for range 3 {
 				So(server.begun(), ShouldNotStartWith, "none")
@@ -431,12 +431,34 @@
 			caller.send(get("/late") + post("/order", "x"))
 			time.Sleep(20 * time.Millisecond)
 			server.release("third")
-			resp, body := caller.answer("GET")
-			So(body, ShouldEqual, "GET /wait/third ")
+			for _, want := range []string{"GET /wait/third ", "GET /late "} {
+				resp, body := caller.answer("GET")
+				So(body, ShouldEqual, want)
+				So(resp.Close, ShouldBeFalse)
+			}
+			resp, body := caller.answer("POST")
+			So(body, ShouldEqual, "POST /order x")
 			So(resp.Close, ShouldBeTrue)
 			So(caller.end(), ShouldBeTrue)
-			So(server.ran(), ShouldNotContain, "/late")
-			So(server.ran(), ShouldNotContain, "/order")
+		})
+		Convey("late in a planned stop, what was read is refused in its order, certified not run, and the connection closes after it", func() {
+			caller.send(get("/wait/first"))
+			So(server.begun(), ShouldEqual, "/wait/first")
+			now := time.Now()
+			c.entry.SetStopping(now, now.Add(2*time.Second))
+			caller.send(post("/order", "x") + post("/order", "y"))
+			time.Sleep(50 * time.Millisecond)
+			server.release("first")
+			_, body := caller.answer("GET")
+			So(body, ShouldEqual, "GET /wait/first ")
+			for _, closes := range []bool{false, true} {
+				resp, _ := caller.answer("POST")
+				So(resp.Header.Get("Egret-Error"), ShouldEqual, "draining")
+				So(resp.Header.Get("Egret-Run"), ShouldEqual, "no")
+				So(resp.Close, ShouldEqual, closes)
+			}
+			So(caller.end(), ShouldBeTrue)
+			So(server.ran(), ShouldResemble, []string{"/wait/first"})
 		})
 		Convey("a stop whose time is up delivers the answers behind a request that is still at work", func() {
 			caller.send(get("/wait/first") + get("/second") + get("/third"))
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -58,13 +58,14 @@
 			return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_CANCELLED, err.Error())
 		}
 	}
-	if stop := x.handler.stop.Load(); stop != nil && x.mayOutlastStop && time.Now().After(stop.late) {
-		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DRAINING, "the node is stopping and may not wait for the answer")
-	}
 	x.sanitizeHeader()
 	if err := x.prepareBody(); err != nil {
 		return errorAnswer(err)
 	}
+	// A body that is held has been read, so that requests behind it can be answered.
+	if stop := x.handler.stop.Load(); stop != nil && x.mayOutlastStop && time.Now().After(stop.late) {
+		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_DRAINING, "the node is stopping and may not wait for the answer")
+	}
 	return x.setFingerprint()
 }
 
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -41,7 +41,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), inFlightTimeout(timeout))
 	defer cancel()
 	n.stopping.Store(true)
-	n.callerHTTP.SetStopping()
 	if deadline, ok := ctx.Deadline(); ok {
 		n.entry.SetStopping(time.Now().Add(min(lateRequestTime, timeout/2)), deadline)
 		n.gate.SetStopping(deadline)
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -127,7 +127,8 @@
 		if c.framer.head.ambiguous != "" && c.framer.state == atEnd && c.busy {
 			err = io.EOF // what stands behind may be a part of the request
 		}
-		full := c.pending.len() >= c.server.options.UnreadBytes
+		// What is read is answered, so nothing is read behind the last request.
+		full := c.noMore || c.pending.len() >= c.server.options.UnreadBytes
 		c.mu.Unlock()
 		switch {
 		case err != nil:
@@ -505,3 +506,12 @@
 	c.noMore = true
 	return len(c.queue) == 0
 }
+
+// closeIfLast implements place.
+func (c *conn) closeIfLast() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isLast := len(c.queue) == 0 && c.pending.len() == 0
+	c.noMore = c.noMore || isLast
+	return isLast
+}
--- a/internal/pipeline/place.go
+++ b/internal/pipeline/place.go
@@ -15,6 +15,7 @@
 	ambiguity() string
 	awaitTurn(ctx context.Context) error
 	closeAfter() bool
+	closeIfLast() bool
 }
 
 type placeKey struct{}
@@ -55,9 +56,19 @@
 	return nil
 }
 
-// CloseAfter reports whether the answer to r may close its connection: no request behind
-// r is being served. Requests that weren't passed on by now never are. An answer that
-// announces the end of the connection must not be written otherwise.
+// CloseIfLast reports whether the answer to r may close its connection because nothing was
+// read behind r. From then on nothing is. Otherwise what stands behind r is served.
+func CloseIfLast(r *http.Request) bool {
+	if p := placeOf(r); p != nil {
+		return p.closeIfLast()
+	}
+	return true
+}
+
+// CloseAfter reports whether the answer to r may close its connection although something
+// may have been read behind r: no request behind r is being served. Requests that weren't
+// passed on by now never are. An answer that announces the end of the connection must not
+// be written otherwise.
 func CloseAfter(r *http.Request) bool {
 	if p := placeOf(r); p != nil {
 		return p.closeAfter()
--- a/internal/pipeline/queue.go
+++ b/internal/pipeline/queue.go
@@ -120,3 +120,12 @@
 	q.conn.noMore = true
 	return q.conn.queue[len(q.conn.queue)-1] == q
 }
+
+// closeIfLast implements place.
+func (q *queued) closeIfLast() bool {
+	q.conn.mu.Lock()
+	defer q.conn.mu.Unlock()
+	isLast := q.conn.queue[len(q.conn.queue)-1] == q && q.conn.pending.len() == 0
+	q.conn.noMore = q.conn.noMore || isLast
+	return isLast
+}
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -120,8 +120,6 @@
 	// listeners are the listeners in use; nil once the server is stopping.
 	listeners []*listener
 	stopping  bool
-	// sequential reports whether no more requests are served ahead of their turn.
-	sequential atomic.Bool
 }
 
 // NewServer returns a server with the limits of the request path.
@@ -249,15 +247,8 @@
 	return cmp.Or(limits.IdleTimeout, wire.ServerIdleTimeout), cmp.Or(limits.HeaderTimeout, wire.ReadHeaderTimeout)
 }
 
-// SetStopping announces a stop: no more requests are served ahead of their turn, so that
-// the answer to each may close its connection.
-func (s *Server) SetStopping() { s.sequential.Store(true) }
-
 // acquire takes a slot for a request that is served ahead.
 func (s *Server) acquire() bool {
-	if s.sequential.Load() {
-		return false
-	}
 	select {
 	case s.slots <- struct{}{}:
 		s.servedAhead.Add(1)
@@ -272,9 +263,8 @@
 // Shutdown stops the server without breaking off a request: it accepts what waits at
 // the listener, closes connections when they have no request, and returns once all are
 // closed. The handler's answers must announce the end of their connection by then
-// (CloseAfter). The connections that are left when ctx ends are closed by Close.
+// (CloseIfLast). The connections that are left when ctx ends are closed by Close.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.SetStopping()
 	s.awaitQuietListener(ctx)
 	s.mu.Lock()
 	s.stopping = true
