entry, pipeline: a broken answer doesn't drop the answers behind it

Cause: such an answer was forwarded as it came, while requests behind it were passed on; and an answer that broke off before its turn closed the connection.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -292,9 +292,14 @@
 func (x *exchange) send(ctx context.Context, endpoint *balance.Endpoint) *wire.Answer {
 	x.sending.handler, x.sending.call, x.sending.streamedBody = x.handler, &x.call, x.streamedBody
 	x.sending.endpoint = endpoint
+	x.sending.hasBehind = x.hasBehind
 	return x.sending.send(ctx)
 }
 
+// hasBehind reports whether requests behind this one on the caller's connection are being
+// served. If not, none is until this one is answered.
+func (x *exchange) hasBehind() bool { return pipeline.HasBehind(x.r) }
+
 // outcome maps an answer to the outcome reported to the balancer.
 func outcome(answer *wire.Answer) balance.Outcome {
 	if answer.ConnectionLost {
--- a/internal/entry/pipelining_test.go
+++ b/internal/entry/pipelining_test.go
@@ -348,6 +348,50 @@
 			So(server.ran(), ShouldNotContain, "/order")
 			So(server.ran(), ShouldNotContain, "/once/order")
 		})
+		Convey("an answer of unknown length that its server breaks off doesn't drop the answers of those passed on behind it", func() {
+			caller.send(get("/cut") + get("/second") + get("/wait/third"))
+			for range 3 {
+				So(server.begun(), ShouldNotStartWith, "none")
+			}
+			server.release("cut")
+			resp, _ := caller.answer("GET")
+			So(resp.Header.Get("Egret-Run"), ShouldEqual, "unknown")
+			server.release("third")
+			for _, want := range []string{"GET /second ", "GET /wait/third "} {
+				_, body := caller.answer("GET")
+				So(body, ShouldEqual, want)
+			}
+			caller.send(get("/later"))
+			_, body := caller.answer("GET")
+			So(body, ShouldEqual, "GET /later ")
+		})
+		Convey("an answer that goes on slowly isn't held for those behind it", func() {
+			caller.send(get("/cut") + get("/second"))
+			for range 2 {
+				So(server.begun(), ShouldNotStartWith, "none")
+			}
+			began := time.Now()
+			begun := make([]byte, 1000)
+			n, err := caller.reader.Read(begun)
+			So(err, ShouldBeNil)
+			So(string(begun[:n]), ShouldStartWith, "HTTP/1.1 200 OK")
+			So(time.Since(began), ShouldBeBetween, 100*time.Millisecond, time.Second)
+			server.release("cut")
+		})
+		Convey("nothing is passed on behind an answer that is being written as it comes", func() {
+			caller.send(get("/cut"))
+			So(server.begun(), ShouldEqual, "/cut")
+			time.Sleep(50 * time.Millisecond) // its answer has begun
+			caller.send(get("/second"))
+			time.Sleep(50 * time.Millisecond)
+			So(server.ran(), ShouldResemble, []string{"/cut"})
+			server.release("cut")
+			_, body := caller.answer("GET")
+			So(body, ShouldStartWith, "error")
+			So(caller.end(), ShouldBeTrue)
+			time.Sleep(20 * time.Millisecond)
+			So(server.ran(), ShouldResemble, []string{"/cut"})
+		})
 		Convey("a caller of HTTP/1.0 sees that an answer was broken off", func() {
 			caller.send("GET /svc/orders/cut HTTP/1.0\r\nHost: h\r\n\r\n")
 			So(server.begun(), ShouldEqual, "/cut")
--- a/internal/entry/sending.go
+++ b/internal/entry/sending.go
@@ -16,6 +16,9 @@
 	call         *wire.Call
 	streamedBody *callerBody // nil if the body is held or there is none
 	endpoint     *balance.Endpoint
+	// hasBehind reports whether requests behind this one on the caller's connection are
+	// being served; nil: none are.
+	hasBehind func() bool
 	// prefetchBuffer holds a prefetched answer.
 	prefetchBuffer *[]byte
 }
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -58,6 +58,12 @@
 	b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, runResult{failed: true})
 }
 
+// AwaitByte implements wire.ByteAwaiter.
+func (b *answerBody) AwaitByte(until time.Time) bool {
+	awaiter, ok := b.ReadCloser.(wire.ByteAwaiter)
+	return !ok || awaiter.AwaitByte(until)
+}
+
 // Close abandons the rest of the body.
 func (b *answerBody) Close() error {
 	err := b.ReadCloser.Close()
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -66,6 +66,9 @@
 	scanned int
 	// queue holds the requests that are served ahead, in the order of their answers.
 	queue []*queued
+	// alone is the request behind which none is served until it is answered; nil: there is
+	// none.
+	alone place
 	// noMore reports whether no further request may be served on the connection.
 	noMore bool
 	// pipelined reports whether a request ever arrived behind another.
@@ -411,6 +414,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.lastUsed = false, time.Now()
+	if c.alone == place(c) {
+		c.alone = nil
+	}
 	if len(c.queue) > 0 {
 		close(c.queue[0].turn)
 	}
@@ -507,6 +513,17 @@
 	return len(c.queue) == 0
 }
 
+// hasBehind implements place.
+func (c *conn) hasBehind() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) > 0 {
+		return true
+	}
+	c.alone = c
+	return false
+}
+
 // closeIfLast implements place.
 func (c *conn) closeIfLast() bool {
 	c.mu.Lock()
--- a/internal/pipeline/place.go
+++ b/internal/pipeline/place.go
@@ -16,6 +16,7 @@
 	awaitTurn(ctx context.Context) error
 	closeAfter() bool
 	closeIfLast() bool
+	hasBehind() bool
 }
 
 type placeKey struct{}
@@ -56,6 +57,15 @@
 	return nil
 }
 
+// HasBehind reports whether requests behind r on its connection are being served. If not,
+// none is before r is answered: their answers would be lost if that of r broke off.
+func HasBehind(r *http.Request) bool {
+	if p := placeOf(r); p != nil {
+		return p.hasBehind()
+	}
+	return false
+}
+
 // CloseIfLast reports whether the answer to r may close its connection because nothing was
 // read behind r. From then on nothing is. Otherwise what stands behind r is served.
 func CloseIfLast(r *http.Request) bool {
--- a/internal/pipeline/queue.go
+++ b/internal/pipeline/queue.go
@@ -6,6 +6,9 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/egretfield/egretfield/internal/pb"
+	"github.com/egretfield/egretfield/internal/wire"
 )
 
 // queued is a request that is served while requests before it on its connection are.
@@ -20,7 +23,7 @@
 
 // startAheadLocked starts the requests at the front of pending that may be served ahead.
 func (c *conn) startAheadLocked() {
-	for !c.noMore && c.readErr == nil && c.framer.state == atEnd && len(c.queue) < c.server.options.Depth {
+	for !c.noMore && c.alone == nil && c.readErr == nil && c.framer.state == atEnd && len(c.queue) < c.server.options.Depth {
 		if c.mayBeginLocked() {
 			return // net/http reads the next request
 		}
@@ -63,7 +66,17 @@
 func (q *queued) serve() {
 	defer q.cancel()
 	w := newAnswerWriter(q)
-	whole := q.conn.server.runHandler(w, q.request) && w.finish() == nil
+	err := q.conn.server.runHandler(w, q.request)
+	if err == nil {
+		err = w.finish()
+	}
+	whole := err == nil
+	if !whole && err != errPanicked && !w.headSent {
+		// Nothing of the answer was sent, so another can take its place.
+		w = newAnswerWriter(q)
+		wire.WriteError(w, pb.ErrorKind_ERROR_KIND_ANSWER_CUT, "the answer broke off", "")
+		whole = w.finish() == nil
+	}
 	if !whole {
 		// The connection closes, but the answers before this one are delivered.
 		_ = q.awaitTurn(q.request.Context()) // fails if the connection is closed already
@@ -84,6 +97,9 @@
 		}
 	}
 	c.lastUsed = time.Now()
+	if c.alone == place(q) {
+		c.alone = nil
+	}
 	if !whole || closes {
 		c.noMore = true
 	}
@@ -121,6 +137,17 @@
 	return q.conn.queue[len(q.conn.queue)-1] == q
 }
 
+// hasBehind implements place.
+func (q *queued) hasBehind() bool {
+	q.conn.mu.Lock()
+	defer q.conn.mu.Unlock()
+	if q.conn.queue[len(q.conn.queue)-1] != q {
+		return true
+	}
+	q.conn.alone = q
+	return false
+}
+
 // closeIfLast implements place.
 func (q *queued) closeIfLast() bool {
 	q.conn.mu.Lock()
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
 
@@ -209,7 +210,7 @@
 	if closed {
 		panic(http.ErrAbortHandler) // nobody could get the answer
 	}
-	if !s.runHandler(w, r) {
+	if s.runHandler(w, r) != nil {
 		c.mu.Lock()
 		c.aborted = true
 		c.mu.Unlock()
@@ -217,22 +218,26 @@
 	}
 }
 
-// runHandler serves a request. It returns false if the handler panicked: the answer is
-// not complete.
-func (s *Server) runHandler(w http.ResponseWriter, r *http.Request) (complete bool) {
+// errPanicked is returned by runHandler for a panic of the handler.
+var errPanicked = eris.New("the handler panicked")
+
+// runHandler serves a request. It fails if the answer is not complete: with
+// http.ErrAbortHandler if the handler broke it off, with errPanicked after any other panic.
+func (s *Server) runHandler(w http.ResponseWriter, r *http.Request) (err error) {
 	defer func() {
 		cause := recover()
 		if cause == nil {
 			return
 		}
-		complete = false
+		err = http.ErrAbortHandler
 		if cause != http.ErrAbortHandler {
+			err = errPanicked
 			s.panics.Add(1)
 			s.options.Logger.Error("panic while serving a request", zap.Any("panic", cause), zap.ByteString("stack", debug.Stack()))
 		}
 	}()
 	s.handler.ServeHTTP(w, r)
-	return true
+	return nil
 }
 
 // newFramer returns a framer for the next request under the limits in force.
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -298,7 +298,7 @@
 }
 
 func TestBrokenAnswerAhead(t *testing.T) {
-	Convey("An answer that breaks off before its turn doesn't cut those before it", t, func() {
+	Convey("An answer that breaks off before its first byte was sent becomes a failure, and cuts neither those before it nor those behind it", t, func() {
 		broken := make(chan struct{})
 		s, addr := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/broken" {
@@ -312,9 +312,19 @@
 		defer s.Close()
 		nc := dial(addr)
 		defer nc.Close()
-		_, _ = io.WriteString(nc, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /broken HTTP/1.1\r\nHost: h\r\n\r\n")
-		answers, _ := io.ReadAll(nc)
-		So(string(answers), ShouldEndWith, "whole")
+		for _, path := range []string{"/first", "/broken", "/last"} {
+			_, _ = io.WriteString(nc, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		}
+		reader := bufio.NewReader(nc)
+		for _, want := range []string{"200 whole", "502 answer_cut", "200 whole"} {
+			resp, err := http.ReadResponse(reader, nil)
+			So(err, ShouldBeNil)
+			body, err := io.ReadAll(resp.Body)
+			So(err, ShouldBeNil)
+			status, text, _ := strings.Cut(want, " ")
+			So(fmt.Sprint(resp.StatusCode), ShouldEqual, status)
+			So(string(body), ShouldContainSubstring, text)
+		}
 	})
 }
 
--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -123,6 +123,30 @@
 	return n, err
 }
 
+// ByteAwaiter is implemented by bodies of answers that can wait for their next byte.
+type ByteAwaiter interface {
+	// AwaitByte waits until the body has a byte to read, its end included, or a read would
+	// fail. It returns false if none of that has happened at the given time; the body can
+	// then be read on. It must not be called during a Read.
+	AwaitByte(until time.Time) bool
+}
+
+// AwaitByte implements ByteAwaiter.
+func (b *answerBody) AwaitByte(until time.Time) bool {
+	if b.finished || b.x.conn.reader.Buffered() > 0 {
+		return true
+	}
+	deadline := b.x.bodyDeadline()
+	if !until.Before(deadline) {
+		return true // the read ends by then
+	}
+	if b.x.conn.SetReadDeadline(until) != nil || b.x.conn.aborted.Load() {
+		return true
+	}
+	_, err := b.x.conn.reader.Peek(1)
+	return err == nil || !IsTimeout(err) || b.x.conn.aborted.Load()
+}
+
 // Close implements io.Closer. It closes the connection unless the body was read to its end.
 func (b *answerBody) Close() error {
 	if !b.finished {
