quarantine: streamed uploads are told apart by the beginning of their body

Cause: the fingerprint of a streamed body was its length and type.

Failed before: entry.TestStreamedUploadCrashesServers, "Expected: quarantined, Actual: server_failed".

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -19,6 +19,9 @@
 	body           io.Reader
 	control        *http.ResponseController
 	remainingBytes int64
+	// prefix holds what was read ahead of the attempts.
+	prefix []byte
+	peeked bool
 	// readMu is held during a read.
 	readMu  sync.Mutex
 	stopped atomic.Bool
@@ -38,6 +41,39 @@
 	b.readMu.Lock()
 	defer b.readMu.Unlock()
 	b.readStarted.Store(true)
+	if len(b.prefix) > 0 {
+		n := copy(p, b.prefix)
+		b.prefix = b.prefix[n:]
+		return n, nil
+	}
+	return b.readLocked(p)
+}
+
+// peek reads up to n bytes of the body, or all of a shorter one, before the attempts. They
+// read these bytes first. It must be called once, before the first attempt.
+func (b *callerBody) peek(n int) ([]byte, error) {
+	b.readMu.Lock()
+	defer b.readMu.Unlock()
+	b.peeked = true
+	prefix := make([]byte, 0, n)
+	for len(prefix) < n {
+		read, err := b.readLocked(prefix[len(prefix):n])
+		prefix = prefix[:len(prefix)+read]
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	b.prefix = prefix
+	return prefix, nil
+}
+
+func (b *callerBody) readLocked(p []byte) (int, error) {
+	if b.ended.Load() {
+		return 0, io.EOF
+	}
 	_ = b.control.SetReadDeadline(time.Now().Add(bodyIdleTimeout)) // ResponseWriters in tests may not support it
 	if b.stopped.Load() {
 		return 0, io.ErrClosedPipe
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -419,7 +419,7 @@
 	if x.streamedBody != nil {
 		x.streamedBody.stop(time.Now().Add(wire.LingerTime))
 	}
-	noReadStarted := x.streamedBody == nil || !x.streamedBody.readStarted.Load()
+	noReadStarted := x.streamedBody == nil || !x.streamedBody.readStarted.Load() && !x.streamedBody.peeked
 	if x.expectsContinue && noReadStarted {
 		return // no 100 Continue was sent, so the caller sends no body
 	}
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -14,6 +14,7 @@
 	"github.com/egretfield/egretfield/internal/errkind"
 	"github.com/egretfield/egretfield/internal/pb"
 	"github.com/egretfield/egretfield/internal/pipeline"
+	"github.com/egretfield/egretfield/internal/quarantine"
 	"github.com/egretfield/egretfield/internal/wire"
 )
 
@@ -346,10 +347,22 @@
 }
 
 // setFingerprint sets the fingerprint, which equal requests share, and refuses a
-// request whose fingerprint is quarantined.
+// request that is quarantined. Of a streamed body it reads the beginning if requests like
+// this one may have crashed a backend server.
 func (x *exchange) setFingerprint() *wire.Answer {
 	x.call.Fingerprint = fingerprint(&x.call)
-	if x.handler.options.Quarantine.Refuses(x.call.Fingerprint) {
+	suspect := x.call.Fingerprint
+	if x.streamedBody != nil && x.handler.options.Quarantine.InspectsBody(suspect) {
+		prefix, err := x.streamedBody.peek(quarantine.PrefixBytes)
+		if err == errBodyTooLarge {
+			return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_BODY_TOO_LARGE, err.Error())
+		}
+		if err != nil {
+			return errorAnswer(bodyError(err))
+		}
+		suspect = quarantine.BodyFingerprint(suspect, prefix)
+	}
+	if x.handler.options.Quarantine.Refuses(suspect) {
 		return wire.ErrorAnswer(pb.ErrorKind_ERROR_KIND_QUARANTINED, "equal requests crashed backend servers")
 	}
 	return nil
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -54,7 +54,7 @@
 		b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, runResult{failed: true})
 		return
 	}
-	b.run.gate.handleBrokenConnection(context.Background(), b.run.server, b.run.call.Fingerprint)
+	b.run.gate.handleBrokenConnection(context.Background(), b.run.server, b.run.suspect)
 	b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, runResult{failed: true})
 }
 
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -25,44 +25,41 @@
 
 // brokenRequest is a request whose connection to the server broke.
 type brokenRequest struct {
-	fingerprint uint64
-	at          time.Time
+	suspect *suspect
+	at      time.Time
 }
 
 // crashDetector tracks the requests in flight at a backend server and those whose
 // connection broke. Safe for concurrent use.
 type crashDetector struct {
 	mu       sync.Mutex
-	inFlight map[uint64]int
+	inFlight map[*suspect]struct{}
 	broken   []brokenRequest
 	reported bool
 	// answeredAt is when the server last completed an answer.
 	answeredAt time.Time
 }
 
-func (d *crashDetector) requestStarted(fingerprint uint64) {
+func (d *crashDetector) requestStarted(s *suspect) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.inFlight == nil {
-		d.inFlight = make(map[uint64]int)
+		d.inFlight = make(map[*suspect]struct{})
 	}
-	d.inFlight[fingerprint]++
+	d.inFlight[s] = struct{}{}
 }
 
-func (d *crashDetector) requestEnded(fingerprint uint64) {
+func (d *crashDetector) requestEnded(s *suspect) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.inFlight[fingerprint]--
-	if d.inFlight[fingerprint] == 0 {
-		delete(d.inFlight, fingerprint)
-	}
+	delete(d.inFlight, s)
 }
 
-func (d *crashDetector) recordBroken(fingerprint uint64, now time.Time) {
+func (d *crashDetector) recordBroken(s *suspect, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.pruneLocked(now)
-	d.broken = append(d.broken, brokenRequest{fingerprint, now})
+	d.broken = append(d.broken, brokenRequest{s, now})
 }
 
 func (d *crashDetector) pruneLocked(now time.Time) {
@@ -74,7 +71,7 @@
 // takeSuspects returns the requests that may have caused a crash: those that broke
 // within crashWindow and those in flight. It returns them once for each crash, and
 // nil when no request broke.
-func (d *crashDetector) takeSuspects(now time.Time) []uint64 {
+func (d *crashDetector) takeSuspects(now time.Time) []*suspect {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.pruneLocked(now)
@@ -82,12 +79,12 @@
 		return nil
 	}
 	d.reported = true
-	var suspects []uint64
+	var suspects []*suspect
 	for _, broken := range d.broken {
-		suspects = append(suspects, broken.fingerprint)
+		suspects = append(suspects, broken.suspect)
 	}
-	for fingerprint := range d.inFlight {
-		suspects = append(suspects, fingerprint)
+	for s := range d.inFlight {
+		suspects = append(suspects, s)
 	}
 	d.broken = nil
 	return suspects
@@ -111,9 +108,9 @@
 
 // handleBrokenConnection records a request whose connection to the server broke. It
 // reports whether the server is dead.
-func (g *Gate) handleBrokenConnection(ctx context.Context, server *backendServer, fingerprint uint64) bool {
+func (g *Gate) handleBrokenConnection(ctx context.Context, server *backendServer, s *suspect) bool {
 	now := time.Now()
-	server.crash.recordBroken(fingerprint, now)
+	server.crash.recordBroken(s, now)
 	if !g.isDead(ctx, server) {
 		g.checkDeathLater(server, now)
 		return false
@@ -185,5 +182,12 @@
 	}
 	g.counters.crashes.Add(1)
 	g.logger.Warn("backend server crashed", zap.String("address", server.Address), zap.Int("in_flight", len(suspects)))
-	g.options.Quarantine.ReportCrash(suspects)
+	var inFlight, streamed []uint64
+	for _, s := range suspects {
+		inFlight = append(inFlight, s.id())
+		if s.body != nil {
+			streamed = append(streamed, s.body.Base())
+		}
+	}
+	g.options.Quarantine.ReportCrash(inFlight, streamed...)
 }
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -64,7 +64,9 @@
 		return refusal
 	}
 	r := &run{gate: g, server: server, call: call, admittedAt: startedAt, startedAt: time.Now(), slowdownFactor: g.limiter.slowdownFactor()}
-	server.crash.requestStarted(call.Fingerprint)
+	r.suspect = newSuspect(call)
+	r.call = r.suspect.watch(call)
+	server.crash.requestStarted(r.suspect)
 	if call.Hedged {
 		g.hedgedRuns.Add(1)
 	}
@@ -99,6 +101,7 @@
 	gate      *Gate
 	server    *backendServer
 	call      *wire.Call
+	suspect   *suspect
 	startedAt time.Time
 	// admittedAt is when the limiter allowed the latest sending of the call.
 	admittedAt time.Time
@@ -215,7 +218,7 @@
 		r.server.client.Retire(r.server.Address)
 		return pb.ErrorKind_ERROR_KIND_DEADLINE_AFTER_SEND, false
 	}
-	crashed = r.gate.handleBrokenConnection(ctx, r.server, r.call.Fingerprint)
+	crashed = r.gate.handleBrokenConnection(ctx, r.server, r.suspect)
 	return pb.ErrorKind_ERROR_KIND_SERVER_FAILED, crashed
 }
 
@@ -231,13 +234,13 @@
 // complete ends a run whose answer arrived whole.
 func (r *run) complete(failed bool) {
 	r.server.crash.serverAnswered()
-	r.gate.options.Quarantine.ReportSuccess(r.call.Fingerprint)
+	r.gate.options.Quarantine.ReportSuccess(r.suspect.id())
 	r.end(pb.AttemptState_ATTEMPT_STATE_DONE, r.kept, runResult{completed: !failed, failed: failed})
 }
 
 func (r *run) end(state pb.AttemptState, answer *pb.StoredAnswer, result runResult) {
 	r.gate.attempts.end(r.call.Attempt, state, answer)
-	r.server.crash.requestEnded(r.call.Fingerprint)
+	r.server.crash.requestEnded(r.suspect)
 	if r.call.Hedged {
 		r.gate.hedgedRuns.Add(-1)
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -29,6 +29,10 @@
 	// MaxSuspects bounds the fingerprints reported for one crash, so that the
 	// message fits a gossip payload.
 	MaxSuspects = 100
+	// maxStreamed bounds the streamed requests reported for one crash, and maxInspected
+	// those that are looked at with their body.
+	maxStreamed  = 8
+	maxInspected = 256
 	// maxCrashes bounds the crashes kept.
 	maxCrashes = 64
 	// maxSeenIDs bounds the message ids kept to recognise duplicates.
@@ -54,6 +58,7 @@
 type snapshot struct {
 	quarantinedUntil map[uint64]time.Time // fingerprint to end of its quarantine
 	suspects         map[uint64]bool
+	inspected        map[uint64]bool
 }
 
 // Table holds the suspects and the quarantined fingerprints. A nil Table refuses
@@ -67,8 +72,10 @@
 	mu               sync.Mutex
 	crashes          []crash
 	quarantinedUntil map[uint64]time.Time
-	seenIDs          map[string]bool
-	seenOrder        []string // oldest first
+	// inspectedUntil has the fingerprints without the body of streamed requests.
+	inspectedUntil map[uint64]time.Time
+	seenIDs        map[string]bool
+	seenOrder      []string // oldest first
 }
 
 // New returns an empty table that shares crash news through broadcaster, which may
@@ -77,7 +84,8 @@
 	if logger == nil {
 		logger = zap.NewNop()
 	}
-	t := &Table{broadcaster: broadcaster, logger: logger, quarantinedUntil: make(map[uint64]time.Time), seenIDs: make(map[string]bool)}
+	t := &Table{broadcaster: broadcaster, logger: logger, quarantinedUntil: make(map[uint64]time.Time),
+		inspectedUntil: make(map[uint64]time.Time), seenIDs: make(map[string]bool)}
 	if broadcaster != nil {
 		broadcaster.Subscribe(Topic, t.receive)
 	}
@@ -107,17 +115,30 @@
 	return snapshot != nil && snapshot.suspects[fingerprint]
 }
 
+// InspectsBody reports whether a streamed request must be looked at with the beginning of
+// its body (BodyFingerprint): one with the same fingerprint without its body was in flight
+// when a backend server crashed.
+func (t *Table) InspectsBody(base uint64) bool {
+	if t == nil {
+		return false
+	}
+	snapshot := t.snapshot.Load()
+	return snapshot != nil && snapshot.inspected[base]
+}
+
 // ReportCrash reports to the fleet that a backend server crashed with the given
-// fingerprints in flight. At most MaxSuspects of them are used.
-func (t *Table) ReportCrash(inFlight []uint64) {
+// fingerprints in flight. At most MaxSuspects of them are used. streamed are the
+// fingerprints without the body of those whose body was streamed.
+func (t *Table) ReportCrash(inFlight []uint64, streamed ...uint64) {
 	if t == nil {
 		return
 	}
-	suspects := distinctNonZero(inFlight)
-	if len(suspects) == 0 {
+	bases := distinctNonZero(streamed)
+	news := &pb.CrashNews{InFlight: distinctNonZero(inFlight), Streamed: bases[:min(len(bases), maxStreamed)]}
+	if len(news.InFlight)+len(news.Streamed) == 0 {
 		return
 	}
-	t.broadcast(&pb.CrashNews{InFlight: suspects})
+	t.broadcast(news)
 }
 
 // ReportSuccess records that a request with the fingerprint completed. If it is a
@@ -207,6 +228,12 @@
 	if suspects := distinctNonZero(news.InFlight); len(suspects) > 0 {
 		t.addCrashLocked(crash{at: now, suspects: suspects})
 	}
+	for _, base := range news.Streamed {
+		if _, known := t.inspectedUntil[base]; known || len(t.inspectedUntil) < maxInspected {
+			// As long as a quarantine that begins with the next crash may last.
+			t.inspectedUntil[base] = now.Add(suspicionPeriod + singleSuspectTerm)
+		}
+	}
 	for _, fingerprint := range news.Cleared {
 		t.clearLocked(fingerprint)
 	}
@@ -227,9 +254,11 @@
 	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool {
 		return now.Sub(c.at) > suspicionPeriod || len(c.suspects) == 0
 	})
-	for fingerprint, end := range t.quarantinedUntil {
-		if now.After(end) {
-			delete(t.quarantinedUntil, fingerprint)
+	for _, ends := range []map[uint64]time.Time{t.quarantinedUntil, t.inspectedUntil} {
+		for fingerprint, end := range ends {
+			if now.After(end) {
+				delete(ends, fingerprint)
+			}
 		}
 	}
 }
@@ -275,7 +304,10 @@
 }
 
 func (t *Table) publishSnapshotLocked() {
-	next := &snapshot{quarantinedUntil: make(map[uint64]time.Time), suspects: make(map[uint64]bool)}
+	next := &snapshot{quarantinedUntil: make(map[uint64]time.Time), suspects: make(map[uint64]bool), inspected: make(map[uint64]bool)}
+	for base := range t.inspectedUntil {
+		next.inspected[base] = true
+	}
 	for fingerprint, end := range t.quarantinedUntil {
 		next.quarantinedUntil[fingerprint] = end
 	}
