pipeline, entry: read on behind a request that closes; hold hedged answers

Found while reading the diff: a request with Connection: close was watched by polls of 100 ms while it was served, as nothing behind it is served; only an answer that announces the end needs that. Answers of hedged attempts weren't held for the requests behind them.

Change: a flag of its own for an announced end; hedged attempts know what stands behind.

Result: tests of pipeline, entry and config pass with the race detector.

--- a/internal/config/fit.go
+++ b/internal/config/fit.go
@@ -48,7 +48,7 @@
 
 // lower brings a value down to its bound.
 func lower[N uint32 | uint64 | float64](f *fitter, path string, value *N, bound N) {
-	if *value <= bound || *value != *value {
+	if *value <= bound || *value != *value { // Check refuses what isn't a number
 		return
 	}
 	f.adjusted = append(f.adjusted, Problem{Path: path, Message: fmt.Sprintf("%v is above the bound, %v applies", *value, bound)})
--- a/internal/entry/hedging.go
+++ b/internal/entry/hedging.go
@@ -103,7 +103,7 @@
 // startParallel sends an attempt with a copy of the call in a goroutine of its own.
 func (x *exchange) startParallel(ctx context.Context, endpoint *balance.Endpoint, offer *balance.EndpointOffer, isHedged bool) *parallelAttempt {
 	r := &parallelAttempt{
-		sending:   sending{handler: x.handler, endpoint: endpoint},
+		sending:   sending{handler: x.handler, endpoint: endpoint, hasBehind: x.hasBehind},
 		ownCall:   x.call,
 		result:    balance.Result{Endpoint: endpoint, Outcome: balance.OutcomeCancelled},
 		offer:     offer,
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -71,6 +71,9 @@
 	alone place
 	// noMore reports whether no further request may be served on the connection.
 	noMore bool
+	// sealed reports whether an answer announces the end of the connection because nothing
+	// was read behind its request. Nothing is read any more.
+	sealed bool
 	// pipelined reports whether a request ever arrived behind another.
 	pipelined bool
 	// readErr is the error that ended reading; nil while the connection can be read.
@@ -130,8 +133,7 @@
 		if c.framer.head.ambiguous != "" && c.framer.state == atEnd && c.busy {
 			err = io.EOF // what stands behind may be a part of the request
 		}
-		// What is read is answered, so nothing is read behind the last request.
-		full := c.noMore || c.pending.len() >= c.server.options.UnreadBytes
+		full := c.sealed || c.pending.len() >= c.server.options.UnreadBytes
 		c.mu.Unlock()
 		switch {
 		case err != nil:
@@ -528,7 +530,9 @@
 func (c *conn) closeIfLast() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	isLast := len(c.queue) == 0 && c.pending.len() == 0
-	c.noMore = c.noMore || isLast
-	return isLast
+	if len(c.queue) > 0 || c.pending.len() > 0 {
+		return false
+	}
+	c.noMore, c.sealed = true, true
+	return true
 }
--- a/internal/pipeline/queue.go
+++ b/internal/pipeline/queue.go
@@ -152,7 +152,9 @@
 func (q *queued) closeIfLast() bool {
 	q.conn.mu.Lock()
 	defer q.conn.mu.Unlock()
-	isLast := q.conn.queue[len(q.conn.queue)-1] == q && q.conn.pending.len() == 0
-	q.conn.noMore = q.conn.noMore || isLast
-	return isLast
+	if q.conn.queue[len(q.conn.queue)-1] != q || q.conn.pending.len() > 0 {
+		return false
+	}
+	q.conn.noMore, q.conn.sealed = true, true
+	return true
 }
