entry: the test of endless bytes lets a sound request wait for a slot

Change: the request is sent again for up to 1 s, the wait that the refusal suggests, and nothing but "overloaded" is accepted until then. The bound of the memory stays. A node that keeps the slots now fails it, too.

--- a/internal/entry/endlessmemory_test.go
+++ b/internal/entry/endlessmemory_test.go
@@ -75,9 +75,11 @@
 // is used up and the requests of all its callers end with it (LOST).
 func TestMemoryUnderBytesWithoutEnd(t *testing.T) {
 	const (
-		callers   = 30
-		callTime  = 300 * time.Millisecond
-		maxGrowth = 64 << 20
+		callers  = 30
+		callTime = 300 * time.Millisecond
+		// recoveryTime is the wait that a refusal as overloaded suggests.
+		recoveryTime = time.Second
+		maxGrowth    = 64 << 20
 	)
 	Convey("Given servers that send bytes without end to some requests", t, func() {
 		c := newCluster(nil, http.HandlerFunc(serveEndless), http.HandlerFunc(serveEndless))
@@ -116,15 +118,24 @@
 							group.Wait()
 						})
 						So(float64(peak)-float64(base), ShouldBeLessThan, maxGrowth)
-						nc, err := net.Dial("tcp", address)
-						So(err, ShouldBeNil)
-						defer nc.Close()
-						_ = nc.SetDeadline(time.Now().Add(5 * time.Second))
-						_, _ = io.WriteString(nc, "GET /x/y/sound HTTP/1.1\r\nHost: a.example\r\n\r\n")
-						resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
-						So(err, ShouldBeNil)
-						body, _ := io.ReadAll(resp.Body)
-						So(fmt.Sprint(resp.StatusCode, " ", string(body)), ShouldEqual, "200 sound")
+						// The callers have just left: until their slots are free, a request may be refused.
+						answer := ""
+						for until := time.Now().Add(recoveryTime); answer != "200 sound" && time.Now().Before(until); {
+							nc, err := net.Dial("tcp", address)
+							So(err, ShouldBeNil)
+							_ = nc.SetDeadline(time.Now().Add(5 * time.Second))
+							_, _ = io.WriteString(nc, "GET /x/y/sound HTTP/1.1\r\nHost: a.example\r\n\r\n")
+							resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+							So(err, ShouldBeNil)
+							body, _ := io.ReadAll(resp.Body)
+							nc.Close()
+							answer = fmt.Sprint(resp.StatusCode, " ", string(body))
+							if answer != "200 sound" {
+								So(resp.Header.Get("Egret-Error"), ShouldEqual, "overloaded")
+								time.Sleep(50 * time.Millisecond)
+							}
+						}
+						So(answer, ShouldEqual, "200 sound")
 					})
 				}
 			}
