wire: a reset during an upload doesn't complete an answer without a length

Cause: a socket reports its error once, to the first read or write after it. During an upload that may be a write; the read behind it then returns the end of the connection, which is the end of a body without a length.

Change: at such an end the upload is stopped, and the body is complete only if no write received an error that ended the connection. EPIPE isn't one: the kernel reports a reset so after the peer's own close, as after an early refusal.

Evidence: e2e TestBrokenAnswers (real processes, a stand-in that writes its answers byte by byte) before: "an answer with no length, a part of the body and a reset: a broken answer was delivered: status 200", four such answers in each of the 8 situations with an upload, none in the 8 without. wire TestResetDuringUpload before: "Expected: false Actual: true" in three of six cases. After: both pass; sound answers and early refusals are delivered as before.

--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -73,17 +76,42 @@
 type progressWriter struct {
 	conn    *conn
 	timeout time.Duration
-	// connFailed reports whether writing to the connection failed, rather than reading
-	// the body.
-	connFailed bool
+
+	mu sync.Mutex // held during a write
+	// err is the error of the write that failed; nil: none has.
+	err error
 }
 
 func (w *progressWriter) Write(data []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	n, err := w.write(data)
-	w.connFailed = err != nil
+	w.err = err
 	return n, err
 }
 
+// connError returns the error with which writing to the connection failed, or nil. It waits
+// for the end of a write in progress.
+func (w *progressWriter) connError() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
+
+// brokenConn returns the error that ended the connection if a write received it, or nil. A
+// socket reports an error once, to a read or to a write; after that, a read reports the end
+// of the connection as if the peer had closed it. Like connError, it waits.
+func (w *progressWriter) brokenConn() error {
+	err := w.connError()
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, io.ErrClosedPipe):
+		return nil // the write was ended on this side
+	case errors.Is(err, syscall.EPIPE):
+		return nil // the peer had closed its side before it reset the connection
+	}
+	return err
+}
+
 func (w *progressWriter) write(data []byte) (int, error) {
 	if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
 		return 0, err
@@ -99,7 +127,9 @@
 	x        *exchange
 	body     io.ReadCloser
 	keepConn bool
-	finished bool
+	// endsWithConn reports whether the end of the connection is the end of the body.
+	endsWithConn bool
+	finished     bool
 }
 
 // Read implements io.Reader. A body that ends before its declared length is an error.
@@ -117,6 +147,9 @@
 		}
 	}
 	n, err := b.body.Read(p)
+	if err == io.EOF && b.endsWithConn {
+		err = b.x.connEnd()
+	}
 	if err == io.EOF {
 		b.finish(b.keepConn)
 	}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -40,6 +40,8 @@
 	// uploadDone receives the result of the upload of the streamed body; nil if none was
 	// started.
 	uploadDone chan error
+	// upload writes the streamed body; nil if no upload was started.
+	upload *progressWriter
 	// bodyState tells whether the upload may still start to read the body.
 	bodyState atomic.Int32
 	// attempt is the attempt id that was sent to a node.
@@ -310,7 +312,7 @@
 	}
 	StripHopByHop(resp.Header)
 	StripInternal(resp.Header)
-	x.body = answerBody{x: x, body: resp.Body, keepConn: !resp.Close}
+	x.body = answerBody{x: x, body: resp.Body, keepConn: !resp.Close, endsWithConn: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
 	body := &x.body
 	if answer.Kind != 0 || resp.ContentLength == 0 || resp.Body == http.NoBody {
 		return answer, body.drain()
@@ -391,14 +393,15 @@
 	}
 	uploadDone := make(chan error, 1)
 	x.uploadDone = uploadDone
+	w := &progressWriter{conn: x.conn, timeout: x.client.options.ProgressTimeout}
+	x.upload = w
 	go func() {
 		if !x.bodyState.CompareAndSwap(bodyUnread, bodyReading) {
 			uploadDone <- errUploadCancelled
 			return
 		}
-		w := &progressWriter{conn: x.conn, timeout: x.client.options.ProgressTimeout}
 		err := writeBody(w, call)
-		if err != nil && !w.connFailed {
+		if err != nil && w.connError() == nil {
 			// The body ended early, so the peer must not take it for complete. After a
 			// failed write, in contrast, there may still be an answer to read.
 			x.conn.abort()
@@ -407,6 +410,19 @@
 	}()
 }
 
+// connEnd returns io.EOF if the connection, whose end a read has reported, was ended by the
+// peer's close, and otherwise what has broken it.
+func (x *exchange) connEnd() error {
+	if x.upload == nil {
+		return io.EOF
+	}
+	x.conn.abort() // ends a write in progress
+	if err := x.upload.brokenConn(); err != nil {
+		return eris.Wrap(err, "the connection broke during the upload")
+	}
+	return io.EOF
+}
+
 func writeBody(w io.Writer, call *Call) error {
 	if call.BodyBytes >= 0 {
 		n, err := Copy(w, io.LimitReader(call.Body, call.BodyBytes))
--- a/internal/wire/upload_test.go
+++ b/internal/wire/upload_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -76,3 +78,55 @@
 		So(claimed || body.reads.Load() == 0, ShouldBeTrue)
 	})
 }
+
+// brokenUpload is a connection on which the answer can be read at once. Its writes fail after
+// the first one; reads report the end of the connection after the answer, as a socket does
+// whose error a write has received.
+type brokenUpload struct {
+	earlyAnswer
+	writes *atomic.Int32
+	err    error
+	failed chan struct{}
+}
+
+func (c brokenUpload) Write(p []byte) (int, error) {
+	switch c.writes.Add(1) {
+	case 1:
+		return len(p), nil
+	case 2:
+		close(c.failed)
+	}
+	return 0, &net.OpError{Op: "write", Net: "tcp", Err: c.err}
+}
+
+// TestResetDuringUpload guards against an answer without a length that looks complete because
+// the upload, not the reading of the answer, received the reset of the connection (MIXED).
+func TestResetDuringUpload(t *testing.T) {
+	for name, c := range map[string]struct {
+		head  string
+		err   error
+		whole bool
+	}{
+		"no length, reset":                    {"HTTP/1.1 200 OK\r\n\r\n", syscall.ECONNRESET, false},
+		"no length, network failure":          {"HTTP/1.1 200 OK\r\n\r\n", syscall.ETIMEDOUT, false},
+		"HTTP/1.0, reset":                     {"HTTP/1.0 200 OK\r\n\r\n", syscall.ECONNRESET, false},
+		"no length, closed before the reset":  {"HTTP/1.1 413 Content Too Large\r\n\r\n", syscall.EPIPE, true},
+		"no length, upload that takes longer": {"HTTP/1.1 413 Content Too Large\r\n\r\n", os.ErrDeadlineExceeded, true},
+		"a length, reset":                     {"HTTP/1.1 413 Content Too Large\r\nContent-Length: 5\r\n\r\n", syscall.ECONNRESET, true},
+	} {
+		Convey("An early answer to an upload: "+name, t, func() {
+			failed := make(chan struct{})
+			client := NewClient(ClientOptions{Dial: func(context.Context, string, string) (net.Conn, error) {
+				return brokenUpload{earlyAnswer{answer: strings.NewReader(c.head + "hello")}, &atomic.Int32{}, c.err, failed}, nil
+			}})
+			call := testCall()
+			call.Method, call.Body, call.BodyBytes = http.MethodPost, bytes.NewReader(make([]byte, 1<<20)), 1<<20
+			answer, err := client.Do(context.Background(), SendParams{Addr: "server", Call: call})
+			So(err, ShouldBeNil)
+			<-failed
+			body, err := io.ReadAll(answer.Body)
+			So(string(body), ShouldEqual, "hello")
+			So(err == nil, ShouldEqual, c.whole)
+		})
+	}
+}
