http1: one package decides what an answer is, by RFC 9110 and RFC 9112

A status of 600 or 999, versions 0.9 and 2.0, a control byte in the reason phrase; 000, 099, +20, -00 and 101 taken for interim answers, so that what came behind was delivered or the request waited until its deadline; field names with a blank, in heads, interim answers and trailers, their lines dropped, which for Content-Length and Transfer-Encoding changed the body; chunks in HTTP/1.0 as a part of the body; a length beside chunks. Field names with a control byte were errors already. A sound list of equal lengths was refused.

Cause: http.ReadResponse decided, which repairs such answers or settles them silently.

Change: internal/http1 reads all answers of servers and gates. What breaks the RFCs is an error, as any failure of a server: 502, or another attempt where the request may run again. Fields of the framing and of a connection no longer pass in trailers. egretfield_gate_broken_answers_total counts by reason; an answer that breaks off after its head leaves a log line.

--- a/internal/entry/hedging_test.go
+++ b/internal/entry/hedging_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// rawAfter writes an answer as it stands after a time, and closes the connection.
+func rawAfter(d time.Duration, raw string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(d)
+		nc, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer nc.Close()
+		_, _ = io.WriteString(nc, raw)
+	}
+}
+
 // unavailableAfter answers with status 503 after a time.
 func unavailableAfter(d time.Duration) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
@@ -351,6 +364,25 @@
 		expectNothingLeft(out)
 	})
 
+	// Guards against a broken answer that wins because it comes first (MIXED).
+	for _, raw := range []string{
+		"HTTP/1.1 000 What\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 5\r\n\r\nfirst",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n",
+	} {
+		out = hedgeCase(t, 20, nil, func(f *hedgeFleet) hedgeAnswer {
+			f.servers[0].answers(rawAfter(5*hedgeUsual, raw))
+			f.servers[1].answers(answerAfter(10*hedgeUsual, "second"))
+			return f.send("/x")
+		})
+		Convey(fmt.Sprintf("A broken answer of the first waits for the second: %q", raw), t, func() {
+			So(out.body, ShouldEqual, "second")
+			So(out.runs, ShouldResemble, [2]int64{1, 1})
+			So(out.outcomes, ShouldResemble, [2]balance.Outcome{balance.OutcomeFailure, balance.OutcomeSuccess})
+			expectNothingLeft(out)
+		})
+	}
+
 	out = hedgeCase(t, 20, nil, func(f *hedgeFleet) hedgeAnswer {
 		f.servers[0].answers(abortAfter(8 * hedgeUsual))
 		f.servers[1].answers(abortAfter(hedgeUsual))
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -29,7 +29,7 @@
 		b.ended = true
 		b.run.complete(b.failed)
 	default:
-		b.handleBroken()
+		b.handleBroken(err)
 	}
 	return n, err
 }
@@ -48,8 +48,10 @@
 
 // handleBroken ends the run after the connection broke in the middle of the answer, or the
 // answer took too long.
-func (b *answerBody) handleBroken() {
+func (b *answerBody) handleBroken(err error) {
 	b.ended = true
+	b.run.gate.counters.brokenAnswer(err)
+	b.run.gate.traceBrokenOff(b.run, err)
 	if by := b.run.call.AnswerBy; !by.IsZero() && !time.Now().Before(by) {
 		b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, runResult{failed: true})
 		return
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -188,6 +188,9 @@
 // failed ends a run that got no answer from the server.
 func (r *run) failed(ctx context.Context, err error) *wire.Answer {
 	kind, crashed := r.classify(ctx, err)
+	if kind == pb.ErrorKind_ERROR_KIND_SERVER_FAILED {
+		r.gate.counters.brokenAnswer(err)
+	}
 	state := pb.AttemptState_ATTEMPT_STATE_UNKNOWN
 	if errkind.Of(kind).Run == pb.RunState_RUN_STATE_NO {
 		state = pb.AttemptState_ATTEMPT_STATE_NOT_RUN
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -199,3 +199,37 @@
 		})
 	})
 }
+
+// Guards against broken answers of a server that operators can't tell from other failures.
+func TestBrokenAnswersAreCounted(t *testing.T) {
+	for _, c := range []struct {
+		name, raw            string
+		malformed, brokenOff int64
+	}{
+		{"status 000", "HTTP/1.1 000 What\r\nContent-Length: 0\r\n\r\n", 1, 0},
+		{"a bad chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 1, 0},
+		{"a part of the head", "HTTP/1.1 200 OK\r\nContent-Le", 0, 1},
+		{"a part of the body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", 0, 1},
+		{"a whole body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", 0, 0},
+	} {
+		Convey("A server answers with "+c.name, t, func() {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				nc, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer nc.Close()
+				_, _ = io.WriteString(nc, c.raw)
+			}))
+			defer server.Close()
+			g := New(Options{Instance: "i", Incarnation: 1})
+			g.SetServer(&Server{Service: "s", Address: server.Listener.Addr().String(), Slots: 10, Connections: 10})
+			if answer := g.Do(context.Background(), newTestCall("/")); answer.Body != nil {
+				_, _ = io.Copy(io.Discard, answer.Body) // the counters show whether it is whole
+				_ = answer.Body.Close()
+			}
+			So(g.counters.malformed.Load(), ShouldEqual, c.malformed)
+			So(g.counters.brokenOff.Load(), ShouldEqual, c.brokenOff)
+		})
+	}
+}
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/egretfield/egretfield/internal/errkind"
+	"github.com/egretfield/egretfield/internal/http1"
 	"github.com/egretfield/egretfield/internal/pb"
 )
 
@@ -24,6 +26,9 @@
 	probes atomic.Int64
 	// arrivals counts the requests sent to the backend server.
 	arrivals atomic.Int64
+	// malformed counts the answers of the backend server that break HTTP, brokenOff those
+	// that its connection ended.
+	malformed, brokenOff atomic.Int64
 	// untraced counts the log lines about requests dropped by the rate limit.
 	untraced atomic.Int64
 }
@@ -32,6 +37,15 @@
 	c.answers[int(kind)%len(c.answers)].Add(1)
 }
 
+// brokenAnswer counts an answer of which an error is all or the end.
+func (c *counters) brokenAnswer(err error) {
+	if errors.Is(err, http1.ErrMalformed) {
+		c.malformed.Add(1)
+		return
+	}
+	c.brokenOff.Add(1)
+}
+
 // registerMetrics registers the gate's metrics.
 func (g *Gate) registerMetrics(meter metric.Meter) {
 	if meter == nil {
@@ -43,6 +57,7 @@
 	shed, _ := meter.Int64ObservableCounter("egretfield.gate.shed", metric.WithDescription("Requests that the backend server itself turned away."))
 	probes, _ := meter.Int64ObservableCounter("egretfield.gate.probes", metric.WithDescription("Answers of the backend server's health endpoint."))
 	arrivals, _ := meter.Int64ObservableCounter("egretfield.gate.arrivals", metric.WithDescription("Requests sent to the backend server."))
+	broken, _ := meter.Int64ObservableCounter("egretfield.gate.broken_answers", metric.WithDescription("Answers of the backend server that weren't passed on as complete ones: malformed, or broken off by the end of the connection."))
 	untraced, _ := meter.Int64ObservableCounter("egretfield.gate.untraced", metric.WithDescription("Lines about requests left out."))
 	running, _ := meter.Int64ObservableGauge("egretfield.gate.running", metric.WithDescription("Requests that hold a slot."))
 	queued, _ := meter.Int64ObservableGauge("egretfield.gate.queued", metric.WithDescription("Requests that wait for a slot."))
@@ -58,6 +73,8 @@
 		o.ObserveInt64(shed, g.counters.shed.Load())
 		o.ObserveInt64(probes, g.counters.probes.Load())
 		o.ObserveInt64(arrivals, g.counters.arrivals.Load())
+		o.ObserveInt64(broken, g.counters.malformed.Load(), metric.WithAttributes(attribute.String("reason", "malformed")))
+		o.ObserveInt64(broken, g.counters.brokenOff.Load(), metric.WithAttributes(attribute.String("reason", "broken_off")))
 		if rate, limited := g.limiter.rateLimit(); limited {
 			o.ObserveFloat64(rateLimit, rate)
 		}
@@ -74,7 +91,7 @@
 		o.ObserveInt64(running, int64(report.InFlight))
 		o.ObserveInt64(queued, int64(report.Queued))
 		return nil
-	}, answers, crashes, silentConnections, shed, probes, arrivals, rateLimit, cold, coldRefusals, coldQuestions, promises, untraced, running, queued)
+	}, answers, crashes, silentConnections, shed, probes, arrivals, broken, rateLimit, cold, coldRefusals, coldQuestions, promises, untraced, running, queued)
 	if err != nil {
 		g.logger.Error("gate metrics not registered", zap.Error(err))
 	}
--- a/internal/gate/trace.go
+++ b/internal/gate/trace.go
@@ -31,6 +31,17 @@
 		zap.Float64("rate_limit_per_s", rate), zap.Duration("left", time.Until(call.Deadline)), zap.Duration("retry_after", refusal.RetryAfter))
 }
 
+// traceBrokenOff logs an answer that broke off after its head.
+func (g *Gate) traceBrokenOff(r *run, err error) {
+	if !g.traceLimiter.Allow() {
+		g.counters.untraced.Add(1)
+		return
+	}
+	g.logger.Info("answer of the backend server broke off", zap.String("request", r.call.RequestID),
+		zap.String("route", r.call.Route), zap.String("server", r.server.ID),
+		zap.Duration("held", time.Since(r.startedAt)), zap.String("cause", err.Error()))
+}
+
 // traceFailure logs the failure of a request that was sent to the backend server.
 func (g *Gate) traceFailure(r *run, answer *wire.Answer, err error) {
 	if !g.traceLimiter.Allow() {
--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -82,6 +82,7 @@
 		whole("an unasked 100 before it", "HTTP/1.1 100 Continue\r\n\r\n"+sound),
 		whole("a folded field", ok+"X-Folded: a\r\n b\r\nContent-Length: 5\r\n\r\nhello"),
 		whole("the same length twice", ok+"Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello"),
+		whole("a list of the same length", ok+"Content-Length: 5, 5\r\n\r\nhello"),
 		whole("bare line feeds", "HTTP/1.1 200 OK\nContent-Length: 5\n\nhello"),
 		whole("an empty reason phrase", "HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nhello"),
 		whole("no reason phrase", "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello"),
@@ -107,6 +108,39 @@
 	add := func(end End, name, raw string) {
 		cases = append(cases, Case{Name: name, Raw: raw, End: end, Broken: true})
 	}
+	for _, line := range []string{
+		"HTTP/1.1 000 What", "HTTP/1.1 099 What", "HTTP/1.1 600 What", "HTTP/1.1 999 What", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -00 OK",
+		"HTTP/1.1 2x0 OK", "HTTP/1.1 20\xb2 OK", "HTTP/1.1", "HTTP/1.1 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1 200 OK", "HTTP/11 200 OK", "http/1.1 200 OK", "HTTP/1.1200 OK",
+		"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x7fK", " HTTP/1.1 200 OK", "HTTP/1.1 101 Switching Protocols", "", "hello",
+	} {
+		add(Keep, "status line "+visible(line), line+"\r\nContent-Length: 5\r\n\r\nhello")
+		if line != "" {
+			add(Keep, "status line "+visible(line)+" of an interim answer", line+"\r\n\r\n"+sound)
+		}
+	}
+	for _, line := range []string{
+		"X Y: 1", "X : 1", "X\t: 1", " X: 1", "X\x01Y: 1", "X\x00: 1", "X\x7f: 1", "X\tY: 1", "X\rY: 1", "\xc3\x9c: 1", "X(Y): 1", "X@Y: 1", ": 1", "X", "X\r: 1",
+		"X: a\x00b", "X: a\rb", "X: a\x01b", "X: a\x7fb", "X: a\r",
+		"Content-Length : 2", "Transfer-Encoding : chunked", "Content Length: 2", "Trans\x0bfer-Encoding: chunked", "Connection : close",
+	} {
+		add(Keep, "field "+visible(line), ok+line+"\r\nContent-Length: 5\r\n\r\nhello")
+		add(Keep, "field "+visible(line)+" at the end of the head", ok+"Content-Length: 5\r\n"+last(line)+"\r\n\r\nhello")
+		add(Keep, "field "+visible(line)+" in an interim answer", "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+sound)
+		add(Keep, "field "+visible(line)+" in a trailer", chunked+"5\r\nhello\r\n0\r\n"+line+"\r\n\r\n")
+	}
+	for _, framing := range []string{
+		"Content-Length: 5\r\nContent-Length: 6", "Content-Length: 5, 6", "Content-Length: +5", "Content-Length: -5", "Content-Length: 5x", "Content-Length: 0x5", "Content-Length: 5 5",
+		"Content-Length:", "Content-Length: 5,", "Content-Length: 99999999999999999999",
+		"Transfer-Encoding: gzip, chunked", "Transfer-Encoding: identity", "Transfer-Encoding: chunked, chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+		"Transfer-Encoding: xchunked", "Transfer-Encoding:", "Transfer-Encoding: chunked, identity",
+	} {
+		add(Keep, "framing "+visible(framing), ok+framing+"\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	}
+	for _, both := range []string{"Content-Length: 5\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 15"} {
+		add(Keep, "framing "+visible(both), ok+both+"\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	}
+	add(Finish, "chunks in version 1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	add(Finish, "chunks and a length in version 1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 15\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
 	for _, chunks := range []string{"zz\r\nhello\r\n0\r\n\r\n", "-5\r\nhello\r\n0\r\n\r\n", "0x5\r\nhello\r\n0\r\n\r\n", "5\nhello\n0\n\n", "5\r\nhello0\r\n\r\n", "4\r\nhello\r\n0\r\n\r\n", "\r\nhello\r\n0\r\n\r\n", "10000000000000005\r\nhello\r\n0\r\n\r\n"} {
 		add(Keep, "chunks "+visible(chunks), chunked+chunks)
 	}
@@ -128,6 +162,15 @@
 	return cases
 }
 
+// last returns a field line as the last one of its head. One that would continue the line
+// before it is sound there.
+func last(line string) string {
+	if strings.HasPrefix(line, " ") {
+		return "X" + line
+	}
+	return line
+}
+
 // visible returns text on one line, with its control characters readable.
 func visible(text string) string {
 	return strings.NewReplacer("\r\n", " | ", "\r", `\r`, "\n", `\n`, "\t", `\t`, "\x00", `\x00`, "\x01", `\x01`, "\x0b", `\x0b`, "\x7f", `\x7f`, "\xb2", `\xb2`).Replace(text)
--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/egretfield/egretfield/internal/http1"
 )
 
 const (
@@ -125,11 +127,8 @@
 // answerBody is the body of an answer. At its end, the connection returns to its pool.
 type answerBody struct {
 	x        *exchange
-	body     io.ReadCloser
-	keepConn bool
-	// endsWithConn reports whether the end of the connection is the end of the body.
-	endsWithConn bool
-	finished     bool
+	received *http1.Answer
+	finished bool
 }
 
 // Read implements io.Reader. A body that ends before its declared length is an error.
@@ -146,12 +145,14 @@
 			return 0, io.ErrUnexpectedEOF
 		}
 	}
-	n, err := b.body.Read(p)
-	if err == io.EOF && b.endsWithConn {
+	n, err := b.received.Body.Read(p)
+	if err == io.EOF && b.received.EndsWithConn {
 		err = b.x.connEnd()
 	}
 	if err == io.EOF {
-		b.finish(b.keepConn)
+		StripHopByHop(b.received.Trailer)
+		StripInternal(b.received.Trailer)
+		b.finish(!b.received.Close)
 	}
 	return n, err
 }
@@ -176,7 +177,7 @@
 	if b.x.conn.SetReadDeadline(until) != nil || b.x.conn.aborted.Load() {
 		return true
 	}
-	_, err := b.x.conn.reader.Peek(1)
+	err := b.x.conn.reader.AwaitByte()
 	return err == nil || !IsTimeout(err) || b.x.conn.aborted.Load()
 }
 
@@ -191,6 +192,10 @@
 // drain reads a short body to its end, so that the connection can be reused. A longer one
 // is closed.
 func (b *answerBody) drain() error {
+	if b.received.Body == nil {
+		b.finish(!b.received.Close)
+		return nil
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(b, maxDrainBytes))
 	if err != nil {
 		return err
@@ -199,7 +204,7 @@
 		return b.Close()
 	}
 	if !b.finished {
-		b.finish(b.keepConn)
+		b.finish(!b.received.Close)
 	}
 	return nil
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -13,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
+	"github.com/egretfield/egretfield/internal/http1"
 )
 
 const (
@@ -32,10 +31,6 @@
 // pastDeadline is a deadline that ends all reads and writes at once.
 var pastDeadline = time.Unix(1, 0)
 
-// errAnswerHeaderTooLarge is returned when the header of an answer exceeds
-// maxAnswerHeaderBytes.
-var errAnswerHeaderTooLarge = eris.New("answer header too large")
-
 // conn is a connection of a Client. It carries one request at a time.
 type conn struct {
 	net.Conn
@@ -44,10 +39,8 @@
 	// peek is the method value peekSocket, made only once.
 	peek         func(fd uintptr)
 	openAndEmpty bool // result of peekSocket
-	limitedInput boundedReader
-	reader       *bufio.Reader
+	reader       *http1.Reader
 	writer       *bufio.Writer
-	request      http.Request
 	dialedAt     time.Time
 	// roundTrip is the time that opening the connection took.
 	roundTrip time.Duration
@@ -89,13 +82,12 @@
 
 func newConn(nc net.Conn, p *pool) *conn {
 	c := &conn{
-		Conn:         nc,
-		pool:         p,
-		limitedInput: boundedReader{conn: nc},
-		writer:       bufio.NewWriterSize(nc, connWriteBufferBytes),
-		dialedAt:     time.Now(),
+		Conn:     nc,
+		pool:     p,
+		reader:   http1.NewReader(nc, connReadBufferBytes, maxAnswerHeaderBytes),
+		writer:   bufio.NewWriterSize(nc, connWriteBufferBytes),
+		dialedAt: time.Now(),
 	}
-	c.reader = bufio.NewReaderSize(&c.limitedInput, connReadBufferBytes)
 	c.peek = c.peekSocket
 	if sys, ok := SocketOf(nc).(syscall.Conn); ok {
 		c.raw, _ = sys.SyscallConn() // without raw, isAlive doesn't check the socket
@@ -103,25 +95,6 @@
 	return c
 }
 
-// boundedReader reads at most remaining bytes from a connection.
-type boundedReader struct {
-	conn      net.Conn
-	remaining int64
-}
-
-// Read implements io.Reader. It fails once no bytes remain.
-func (r *boundedReader) Read(p []byte) (int, error) {
-	if r.remaining <= 0 {
-		return 0, errAnswerHeaderTooLarge
-	}
-	if int64(len(p)) > r.remaining {
-		p = p[:r.remaining]
-	}
-	n, err := r.conn.Read(p)
-	r.remaining -= int64(n)
-	return n, err
-}
-
 // abort ends reads and writes in progress. It is safe for concurrent use.
 func (c *conn) abort() {
 	c.aborted.Store(true)
@@ -186,11 +159,3 @@
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
-
-// unexpected replaces io.EOF by io.ErrUnexpectedEOF.
-func unexpected(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/egretfield/egretfield/internal/errkind"
+	"github.com/egretfield/egretfield/internal/http1"
 )
 
 type counter = atomic.Int64
@@ -63,11 +63,11 @@
 	if call.Streams() && !x.client.options.BetweenNodes {
 		x.startUpload()
 	}
-	resp, err := x.readHead(ctx)
+	received, err := x.readHead(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return x.answer(resp)
+	return x.answer(received)
 }
 
 // setInitialDeadline sets the deadline for sending the request. The same deadline covers
@@ -188,26 +188,25 @@
 }
 
 // readHead reads the header of the final answer.
-func (x *exchange) readHead(ctx context.Context) (*http.Response, error) {
+func (x *exchange) readHead(ctx context.Context) (*http1.Answer, error) {
 	for range maxInterimAnswers {
-		x.conn.limitedInput.remaining = maxAnswerHeaderBytes
 		if err := x.awaitByte(ctx); err != nil {
 			return nil, err
 		}
-		x.conn.request.Method = x.params.Call.Method
-		resp, err := http.ReadResponse(x.conn.reader, &x.conn.request)
+		received, err := x.conn.reader.ReadAnswer(x.params.Call.Method)
 		if err != nil {
-			return nil, eris.Wrap(unexpected(err), "read answer")
+			return nil, eris.Wrap(err, "read answer")
 		}
 		switch {
-		case resp.StatusCode == statusContinue:
+		case received.Status == statusContinue:
 			x.startUpload()
-		case resp.StatusCode >= http.StatusOK && x.isStale(resp):
-			if err := x.discardStale(resp); err != nil {
+		case received.IsInterim():
+		case x.isStale(received):
+			if err := x.discardStale(received); err != nil {
 				return nil, err
 			}
-		case resp.StatusCode >= http.StatusOK:
-			return resp, nil
+		default:
+			return received, nil
 		}
 	}
 	return nil, eris.Errorf("no final answer among the first %d answers", maxInterimAnswers)
@@ -222,12 +221,12 @@
 		if err := x.setWaitDeadline(silence); err != nil {
 			return err
 		}
-		_, err := x.conn.reader.Peek(1)
+		err := x.conn.reader.AwaitByte()
 		if err == nil {
 			return nil
 		}
 		if !IsTimeout(err) || x.conn.aborted.Load() || !time.Now().Before(deadline) {
-			return eris.Wrap(unexpected(err), "await answer")
+			return eris.Wrap(err, "await answer")
 		}
 		switch x.params.Check(ctx, time.Since(x.startedAt), x.conn.reused) {
 		case VerdictBroken:
@@ -247,12 +246,12 @@
 	if x.conn.aborted.Load() {
 		return eris.New("cancelled")
 	}
-	_, err := x.conn.reader.Peek(1)
+	err := x.conn.reader.AwaitByte()
 	if err == nil {
 		return nil
 	}
 	if !IsTimeout(err) || x.conn.aborted.Load() {
-		return eris.Wrap(unexpected(err), "await answer")
+		return eris.Wrap(err, "await answer")
 	}
 	return errSilent
 }
@@ -284,10 +283,10 @@
 	return b
 }
 
-// answer converts the response to an Answer. The connection returns to its pool at the end
-// of the body.
-func (x *exchange) answer(resp *http.Response) (*Answer, error) {
-	if resp.ContentLength < 0 {
+// answer converts what was received to an Answer. The connection returns to its pool at the
+// end of the body.
+func (x *exchange) answer(received *http1.Answer) (*Answer, error) {
+	if received.Length < 0 {
 		// One read of a chunked body may need several reads of the connection.
 		if err := x.conn.SetReadDeadline(x.bodyDeadline()); err != nil {
 			return nil, eris.Wrap(err, "set deadline")
@@ -296,8 +295,7 @@
 			return nil, eris.New("cancelled")
 		}
 	}
-	x.conn.limitedInput.remaining = math.MaxInt64
-	x.result = Answer{Status: resp.StatusCode, Header: resp.Header, BodyBytes: resp.ContentLength, Trailer: &resp.Trailer}
+	x.result = Answer{Status: received.Status, Header: received.Header, BodyBytes: received.Length, Trailer: &received.Trailer}
 	answer := &x.result
 	if x.client.options.BetweenNodes {
 		if err := x.readGateHeaders(answer); err != nil {
@@ -308,13 +306,13 @@
 		if err := x.checkServerAnswer(answer); err != nil {
 			return nil, err
 		}
-		x.conn.noteKeepAlive(resp.Header)
+		x.conn.noteKeepAlive(received.Header)
 	}
-	StripHopByHop(resp.Header)
-	StripInternal(resp.Header)
-	x.body = answerBody{x: x, body: resp.Body, keepConn: !resp.Close, endsWithConn: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
+	StripHopByHop(received.Header)
+	StripInternal(received.Header)
+	x.body = answerBody{x: x, received: received}
 	body := &x.body
-	if answer.Kind != 0 || resp.ContentLength == 0 || resp.Body == http.NoBody {
+	if answer.Kind != 0 || received.Body == nil {
 		return answer, body.drain()
 	}
 	answer.Body = body
--- a/internal/wire/serveranswer.go
+++ b/internal/wire/serveranswer.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/egretfield/egretfield/internal/http1"
 	"github.com/egretfield/egretfield/internal/pb"
 )
 
@@ -19,12 +20,12 @@
 // this connection, i.e. is a late second answer to it. The answer to the current request
 // is still to come. A server that needn't repeat ids may put others on its answers, so
 // only the ids of earlier requests count.
-func (x *exchange) isStale(resp *http.Response) bool {
+func (x *exchange) isStale(received *http1.Answer) bool {
 	options := &x.client.options
 	if options.BetweenNodes || !x.conn.reused {
 		return false
 	}
-	echoed := resp.Header.Get(options.Headers.RequestID)
+	echoed := received.Header.Get(options.Headers.RequestID)
 	if echoed == "" || echoed == x.params.Call.RequestID {
 		return false
 	}
@@ -52,14 +53,20 @@
 }
 
 // discardStale reads and discards an answer that belongs to another request.
-func (x *exchange) discardStale(resp *http.Response) error {
+func (x *exchange) discardStale(received *http1.Answer) error {
 	x.client.mismatches.Add(1)
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
+	if received.Close {
+		return eris.New("the answer to an earlier request closes the connection")
+	}
+	if received.Body == nil {
+		return nil
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(received.Body, maxDrainBytes))
 	if err != nil {
-		return eris.Wrap(unexpected(err), "discard the answer to an earlier request")
+		return eris.Wrap(err, "discard the answer to an earlier request")
 	}
-	if n == maxDrainBytes || resp.Close {
-		return eris.New("the answer to an earlier request is too long to skip or closes the connection")
+	if n == maxDrainBytes {
+		return eris.New("the answer to an earlier request is too long to skip")
 	}
 	return nil
 }
