gate: a health answer that breaks HTTP tells nothing

Cause: probes used http.Client, whose parser repairs such answers, as it had on the request path.

Change: probes use wire.Client, so that internal/http1 decides. Limits and pauses as before; a question on a kept connection that breaks fails instead of being sent again.

The parameters of two tests follow the prober's new signature.

--- a/internal/e2e/brokenanswers_test.go
+++ b/internal/e2e/brokenanswers_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,8 +25,20 @@
 	// resetRepeats is how often a case with a reset is tried: whether a read or a write gets
 	// the error of a reset differs from time to time.
 	resetRepeats = 8
+	// healthCaseInterval: the first of so many cases is used as a health answer.
+	healthCaseInterval = 8
+	// healthPause is longer than a question that is in flight may take.
+	healthPause = 500 * time.Millisecond
 )
 
+// coldRawConfiguration makes the node ask the raw server's health endpoint whether the server
+// is cold.
+const coldRawConfiguration = `
+services: [{name: raw, health_path: /health, cold_ms: 3000, cold_requests_per_s: 20}]
+presets: [{name: ordinary}]
+default_preset: ordinary
+`
+
 const rawConfiguration = `
 services:
   - name: orders
@@ -37,9 +50,20 @@
 default_preset: ordinary
 `
 
+// chooseCase returns the case that a request names.
+func chooseCase(cases []rawanswer.Case) func(*http.Request) rawanswer.Case {
+	return func(r *http.Request) rawanswer.Case {
+		number, err := strconv.Atoi(r.Header.Get(caseHeader))
+		if err != nil {
+			return rawanswer.Plain
+		}
+		return cases[number]
+	}
+}
+
 // startRawServer replaces the backend server of an instance by one that answers with the
-// cases of the table.
-func startRawServer(t *testing.T, i *instance, cases []rawanswer.Case) {
+// cases that choose returns.
+func startRawServer(t *testing.T, i *instance, choose func(*http.Request) rawanswer.Case) {
 	i.server.terminate()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -53,13 +77,7 @@
 			if err != nil {
 				return
 			}
-			go rawanswer.Serve(nc, func(r *http.Request) rawanswer.Case {
-				number, err := strconv.Atoi(r.Header.Get(caseHeader))
-				if err != nil {
-					return rawanswer.Plain
-				}
-				return cases[number]
-			})
+			go rawanswer.Serve(nc, choose)
 		}
 	}()
 	announced, err := backend.New(backend.Options{Name: "raw", Service: "raw"})
@@ -165,13 +183,9 @@
 	f := &fleet{t: t, dir: t.TempDir(), places: [][2]string{{"north", "taipei"}, {"north", "hsinchu"}}}
 	f.start(2)
 	f.publish(rawConfiguration)
-	startRawServer(t, f.instances[1], cases)
+	startRawServer(t, f.instances[1], chooseCase(cases))
 	for _, i := range f.instances {
-		probe := situation{via: i, path: "/once/"}
-		f.await("the raw server served at "+i.name, func() bool {
-			got, err := probe.ask(0)
-			return err == nil && judge(&cases[0], got) == nil
-		})
+		awaitRawServer(i)
 	}
 	for _, hop := range []struct {
 		name string
@@ -189,6 +203,15 @@
 	}
 }
 
+// awaitRawServer waits until a node serves requests for the raw server.
+func awaitRawServer(i *instance) {
+	s := situation{via: i, path: "/once/"}
+	i.fleet.await("the raw server served at "+i.name, func() bool {
+		got, err := s.ask(0)
+		return err == nil && judge(&rawanswer.Plain, got) == nil
+	})
+}
+
 func (s *situation) run(t *testing.T, cases []rawanswer.Case) {
 	for number := range cases {
 		c := &cases[number]
@@ -208,3 +231,67 @@
 		}
 	}
 }
+
+// coldQuestions returns the numbers of questions whether the server of an instance is cold
+// that were answered and that failed.
+func (i *instance) coldQuestions() (answered, failed string) {
+	response, err := http.Get("http://" + i.addresses.Ops + "/metrics")
+	if err != nil {
+		return "", ""
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), "} ")
+		switch {
+		case !strings.HasPrefix(name, "egretfield_gate_cold_questions_total{"):
+		case strings.Contains(name, `result="answered"`):
+			answered = value
+		case strings.Contains(name, `result="failed"`):
+			failed = value
+		}
+	}
+	return answered, failed
+}
+
+// TestBrokenHealthAnswers guards against a server that counts as warm by a health answer that
+// breaks HTTP. The test of the same name in internal/gate has the whole table.
+func TestBrokenHealthAnswers(t *testing.T) {
+	var health atomic.Pointer[rawanswer.Case]
+	health.Store(&rawanswer.Plain)
+	f := newFleet(t, 1)
+	i := f.instances[0]
+	f.publish(coldRawConfiguration)
+	startRawServer(t, i, func(r *http.Request) rawanswer.Case {
+		if r.URL.Path == "/health" {
+			return *health.Load()
+		}
+		return rawanswer.Plain
+	})
+	awaitRawServer(i)
+	for number, c := range rawanswer.Cases() {
+		isCutLate := c.Broken && len(c.Raw) > 8<<10 // behind the part of the body that is read
+		if number%healthCaseInterval != 0 || isCutLate {
+			continue
+		}
+		health.Store(&c)
+		time.Sleep(healthPause)
+		answered, failed := i.coldQuestions()
+		f.await("a question with the answer "+c.Name, func() bool {
+			s := situation{via: i, path: "/"}
+			for range 10 {
+				if _, err := s.ask(0); err != nil {
+					return false
+				}
+			}
+			nowAnswered, nowFailed := i.coldQuestions()
+			if c.Broken && nowAnswered != answered {
+				t.Errorf("a broken health answer was taken for one: %s", c.Name)
+			}
+			if !c.Broken && nowFailed != failed {
+				t.Errorf("a sound health answer wasn't taken for one: %s", c.Name)
+			}
+			return nowAnswered != answered || nowFailed != failed
+		})
+	}
+}
--- a/internal/gate/cold.go
+++ b/internal/gate/cold.go
@@ -104,14 +104,14 @@
 		g.limiter.recordColdWithheld()
 		return
 	}
-	go g.askColdTime(server, "http://"+server.Address+*path)
+	go g.askColdTime(server, *path)
 }
 
 // askColdTime asks the server's health endpoint and records the answer.
-func (g *Gate) askColdTime(server *backendServer, url string) {
+func (g *Gate) askColdTime(server *backendServer, path string) {
 	prober := server.prober
 	defer prober.askingCold.Store(false)
-	report, err := prober.get(context.Background(), &prober.coldClient, url, coldProbeTimeout)
+	report, err := prober.get(context.Background(), prober.coldClient, path, coldProbeTimeout)
 	if err != nil {
 		g.cold.failed.Add(1)
 		prober.coldPausedUntil.Store(time.Now().Add(coldProbePause).UnixNano())
--- a/internal/gate/endlessprobe_test.go
+++ b/internal/gate/endlessprobe_test.go
@@ -51,13 +51,13 @@
 			}))
 			defer server.Close()
 			var read atomic.Int64
-			prober := newHealthProber(nil, func(ctx context.Context, network, address string) (net.Conn, error) {
+			prober := newHealthProber(server.Listener.Addr().String(), nil, func(ctx context.Context, network, address string) (net.Conn, error) {
 				nc, err := (&net.Dialer{}).DialContext(ctx, network, address)
 				return &countingConn{Conn: nc, read: &read}, err
 			})
 			defer prober.close()
 			began := time.Now()
-			_, err := prober.get(context.Background(), &prober.client, server.URL, 5*time.Second)
+			_, err := prober.get(context.Background(), prober.client, "/", 5*time.Second)
 			So(time.Since(began), ShouldBeLessThan, 2*time.Second)
 			So(err != nil, ShouldEqual, name != "a body")
 			So(read.Load(), ShouldBeLessThan, 128<<10)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -160,7 +160,7 @@
 		options := g.options.ClientOptions
 		options.MaxConns = server.Connections
 		options.ServerID = server.ID
-		next := &backendServer{Server: *server, client: wire.NewClient(options), prober: newHealthProber(options.Headers, options.Dial)}
+		next := &backendServer{Server: *server, client: wire.NewClient(options), prober: newHealthProber(server.Address, options.Headers, options.Dial)}
 		g.server.Store(next)
 		g.limiter.configure(effectiveSlots(server), next.prober.headers.RateLimit != "")
 		g.askIfCold(next)
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -57,11 +57,14 @@
 // healthProber reads a server's state from its health endpoint. Safe for concurrent
 // use.
 type healthProber struct {
-	client http.Client
+	address string
+	client  *wire.Client
 	// coldClient is for the questions whether the server is cold, whose time limit is
 	// longer, so that they don't hold up the others.
-	coldClient http.Client
+	coldClient *wire.Client
 	headers    *wire.Headers
+	// timeout bounds a probe.
+	timeout time.Duration
 	// limiter bounds the probes of a server that may become cold.
 	limiter *rate.Limiter
 	// askingCold: a question whether the server is cold is in flight.
@@ -76,30 +79,32 @@
 	pausedUntil time.Time
 }
 
-// newHealthProber returns a prober that reads the headers of that name. dial opens its
-// connections; nil: the default of net/http.
-func newHealthProber(headers *wire.Headers, dial wire.DialFunc) *healthProber {
+// newHealthProber returns a prober of the server at an address that reads the headers of
+// that name. dial opens its connections; nil: the default of wire.Client.
+func newHealthProber(address string, headers *wire.Headers, dial wire.DialFunc) *healthProber {
 	if headers == nil {
 		headers = wire.DefaultHeaders()
 	}
 	return &healthProber{
+		address:    address,
 		headers:    headers,
-		client:     http.Client{Transport: newProbeTransport(dial)},
-		coldClient: http.Client{Transport: newProbeTransport(dial)},
+		client:     newProbeClient(dial),
+		coldClient: newProbeClient(dial),
+		timeout:    probeTimeout,
 		limiter:    rate.NewLimiter(maxProbesPerS-probeBurst, probeBurst),
 	}
 }
 
-func newProbeTransport(dial wire.DialFunc) *http.Transport {
-	return &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: 1,
-		MaxConnsPerHost:     1,
-		IdleConnTimeout:     wire.DefaultIdleTimeout,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: maxHealthHeaderBytes,
-	}
+// newProbeClient returns a client whose requests carry none of the system's headers.
+func newProbeClient(dial wire.DialFunc) *wire.Client {
+	return wire.NewClient(wire.ClientOptions{
+		Dial:           dial,
+		MaxIdle:        1,
+		MaxConns:       1,
+		Headers:        &wire.Headers{},
+		KeepHeaders:    true,
+		MaxHeaderBytes: maxHealthHeaderBytes,
+	})
 }
 
 // reportsState reports whether the headers of the server's answers tell its state.
@@ -108,7 +113,7 @@
 // probe returns the report of the server's health endpoint. Calls made while a probe
 // is in flight wait for its end and return nil, as do those in the pause after a
 // failed one.
-func (p *healthProber) probe(ctx context.Context, url string) (*healthReport, error) {
+func (p *healthProber) probe(ctx context.Context, path string) (*healthReport, error) {
 	p.mu.Lock()
 	if inFlight := p.inFlight; inFlight != nil {
 		p.mu.Unlock()
@@ -124,7 +129,7 @@
 	}
 	p.inFlight = make(chan struct{})
 	p.mu.Unlock()
-	report, err := p.get(ctx, &p.client, url, probeTimeout)
+	report, err := p.get(ctx, p.client, path, p.timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	close(p.inFlight)
@@ -135,21 +140,22 @@
 	return report, err
 }
 
-func (p *healthProber) get(ctx context.Context, client *http.Client, url string, timeout time.Duration) (*healthReport, error) {
+// get asks the server's health endpoint. An answer that isn't whole, up to maxHealthBytes of
+// its body, is an error.
+func (p *healthProber) get(ctx context.Context, client *wire.Client, path string, timeout time.Duration) (*healthReport, error) {
 	report := &healthReport{askedAt: time.Now()}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	deadline := report.askedAt.Add(timeout)
+	call := &wire.Call{Method: http.MethodGet, URI: path, Host: p.address, AnswerBy: deadline}
+	call.Deadline = deadline
+	answer, err := client.Do(ctx, wire.SendParams{Addr: p.address, Call: call})
 	if err != nil {
 		return nil, err
 	}
-	answer, err := client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer answer.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxHealthBytes)); err != nil {
-		return nil, err
+	if answer.Body != nil {
+		defer answer.Body.Close()
+		if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxHealthBytes)); err != nil {
+			return nil, err
+		}
 	}
 	report.slowness = wire.ParseServerLoad(answer.Header.Get(p.headers.Load)).GetSlownessPercent()
 	report.notice = wire.ParseServerNotice(p.headers, answer.Header)
@@ -159,8 +165,8 @@
 
 // close closes the idle connections to the health endpoint.
 func (p *healthProber) close() {
-	p.client.CloseIdleConnections()
-	p.coldClient.CloseIdleConnections()
+	p.client.Close()
+	p.coldClient.Close()
 }
 
 // SetHealthPath sets the path of the backend server's health endpoint; empty: it
@@ -180,7 +186,7 @@
 	if allow := g.options.AllowProbe; allow != nil && !allow() {
 		return
 	}
-	report, err := server.prober.probe(ctx, "http://"+server.Address+*path)
+	report, err := server.prober.probe(ctx, *path)
 	if err != nil {
 		g.logger.Debug("health probe of the backend server failed", zap.String("server", server.ID), zap.Error(err))
 		return
--- a/internal/gate/slowdown_test.go
+++ b/internal/gate/slowdown_test.go
@@ -97,7 +97,7 @@
 			So(g.Offer(context.Background(), question).GetWorkUs(), ShouldEqual, 20_000)
 		})
 		Convey("a server that doesn't answer a probe in time isn't probed for a while", func() {
-			g.server.Load().prober.client.Timeout = time.Nanosecond
+			g.server.Load().prober.timeout = time.Nanosecond
 			time.Sleep(2 * maxReportAgeAtStart)
 			for range 3 {
 				So(g.Do(context.Background(), newTestCall("/")).Status, ShouldEqual, http.StatusOK)
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -23,6 +23,7 @@
 	// busy machine.
 	DefaultAnswerGrace     = 200 * time.Millisecond
 	DefaultProgressTimeout = 20 * time.Second
+	DefaultMaxHeaderBytes  = 256 << 10
 )
 
 // ClientOptions configure a Client. The Default constants apply to zero values.
@@ -45,6 +46,11 @@
 	// ProgressTimeout is the time without progress after which the transfer of a body is
 	// aborted.
 	ProgressTimeout time.Duration
+	// MaxHeaderBytes limits the size of the header of an answer.
+	MaxHeaderBytes int64
+	// KeepHeaders reports whether answers keep the headers that aren't forwarded: those of
+	// the system and of one connection.
+	KeepHeaders bool
 	// BetweenNodes reports whether the peer is a node. If so, internal headers are sent
 	// and streamed bodies wait for a 100 Continue of the peer.
 	BetweenNodes bool
@@ -82,6 +88,7 @@
 	defaults.Set(&options.SilenceTimeout, DefaultSilenceTimeout)
 	defaults.Set(&options.AnswerGrace, DefaultAnswerGrace)
 	defaults.Set(&options.ProgressTimeout, DefaultProgressTimeout)
+	defaults.Set(&options.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	if options.Headers == nil {
 		options.Headers = DefaultHeaders()
 	}
--- a/internal/wire/client_test.go
+++ b/internal/wire/client_test.go
@@ -138,7 +138,7 @@
 	Convey("Malformed and endless answers are errors, and the request is reported as sent", t, func() {
 		for _, answer := range []string{
 			"", "garbage\r\n\r\n", "HTTP/1.1 200 OK\r\nX: ",
-			"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maxAnswerHeaderBytes) + "\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*DefaultMaxHeaderBytes) + "\r\n\r\n",
 			"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx",
 			strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2*maxInterimAnswers) + "HTTP/1.1 200 OK\r\n\r\n",
 		} {
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -84,7 +84,7 @@
 	c := &conn{
 		Conn:     nc,
 		pool:     p,
-		reader:   http1.NewReader(nc, connReadBufferBytes, maxAnswerHeaderBytes),
+		reader:   http1.NewReader(nc, connReadBufferBytes, p.client.options.MaxHeaderBytes),
 		writer:   bufio.NewWriterSize(nc, connWriteBufferBytes),
 		dialedAt: time.Now(),
 	}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -17,8 +17,6 @@
 type counter = atomic.Int64
 
 const (
-	// maxAnswerHeaderBytes limits the size of the header of an answer.
-	maxAnswerHeaderBytes = 256 << 10
 	// maxSilenceFactor limits the interval between checks to a multiple of
 	// SilenceTimeout.
 	maxSilenceFactor = 8
@@ -142,8 +140,12 @@
 // appendServerHeaders appends the headers that a backend server understands.
 func (x *exchange) appendServerHeaders(buf []byte, timeoutMs int64) []byte {
 	call, names := x.params.Call, x.client.options.Headers
-	buf = appendField(buf, names.RequestID, call.RequestID)
-	buf = appendNumber(buf, names.Timeout, timeoutMs)
+	if names.RequestID != "" {
+		buf = appendField(buf, names.RequestID, call.RequestID)
+	}
+	if names.Timeout != "" {
+		buf = appendNumber(buf, names.Timeout, timeoutMs)
+	}
 	if names.Depth != "" {
 		buf = appendNumber(buf, names.Depth, int64(call.Depth)+1)
 	}
@@ -308,8 +310,10 @@
 		}
 		x.conn.noteKeepAlive(received.Header)
 	}
-	StripHopByHop(received.Header)
-	StripInternal(received.Header)
+	if !x.client.options.KeepHeaders {
+		StripHopByHop(received.Header)
+		StripInternal(received.Header)
+	}
 	x.body = answerBody{x: x, received: received}
 	body := &x.body
 	if answer.Kind != 0 || received.Body == nil {
--- a/internal/wire/serveranswer.go
+++ b/internal/wire/serveranswer.go
@@ -41,8 +41,8 @@
 // mayBeSentAgain reports whether the request may be sent again after its answer, on
 // whatever connection.
 func (x *exchange) mayBeSentAgain() bool {
-	if x.client.options.BetweenNodes {
-		return false // each attempt has an id of its own
+	if x.client.options.BetweenNodes || x.client.options.Headers.RequestID == "" {
+		return false // each attempt has an id of its own, or none
 	}
 	switch answer := &x.result; answer.Status {
 	case http.StatusRequestTimeout, http.StatusTooManyRequests:
