http1: a reset that a wait has received isn't forgotten

Cause: as for uploads, a socket reports its error once. An answer on which others depend is awaited byte by byte; the wait received the reset, and the read behind it got the end of the connection.

Change: the reader of a connection returns the error that ended it to every later read. Timeouts aren't kept.

Evidence: e2e TestBrokenAnswers, now also with a request behind, before: "an answer with no length, a short part of the body and a reset: a broken answer was delivered" and three like it in 4 of 24 situations; wire TestResetDuringWait before: "Expected: true Actual: false", three of three. After: both pass.

--- a/internal/e2e/brokenanswers_test.go
+++ b/internal/e2e/brokenanswers_test.go
@@ -106,12 +106,13 @@
 
 // situation is how a request reaches the server.
 type situation struct {
-	name string
-	via  *instance
+	via *instance
 	// kept: the request follows another one on the same connections.
 	kept bool
 	// upload: the request has a long body.
 	upload bool
+	// behind: another request follows before the answer.
+	behind bool
 	path   string
 }
 
@@ -130,6 +131,17 @@
 			return nil, fmt.Errorf("the request before: %v, status %d, %s", first.err, first.status, first.body)
 		}
 	}
+	if s.behind {
+		_, _ = fmt.Fprintf(nc, "GET %[1]s HTTP/1.1\r\nHost: raw\r\n%[2]s: %[3]d\r\n\r\nGET %[1]s HTTP/1.1\r\nHost: raw\r\n\r\n", s.path, caseHeader, number)
+		answer := readRawAnswer(reader)
+		if answer.err != nil {
+			return answer, nil
+		}
+		if next := readRawAnswer(reader); next.err != nil || next.status != http.StatusOK || next.body != rawanswer.Plain.Body {
+			return nil, fmt.Errorf("the request behind: %v, status %d, %s", next.err, next.status, next.body)
+		}
+		return answer, nil
+	}
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: raw\r\nEgret-Timeout: 2s\r\n%s: %d\r\n", s.path, caseHeader, number)
 	if !s.upload {
 		_, _ = io.WriteString(nc, head+"Content-Length: 0\r\n\r\n")
@@ -193,10 +205,9 @@
 	}{{"at its own node", f.instances[1]}, {"through another node", f.instances[0]}} {
 		for _, path := range []string{"/once/", "/repeated/"} {
 			for _, kept := range []bool{false, true} {
-				for _, upload := range []bool{false, true} {
-					s := situation{via: hop.via, kept: kept, upload: upload, path: path}
-					s.name = fmt.Sprintf("%s, %s, kept=%v, upload=%v", hop.name, path, kept, upload)
-					t.Run(s.name, func(t *testing.T) { s.run(t, cases) })
+				for _, kind := range []string{"alone", "upload", "behind"} {
+					s := situation{via: hop.via, kept: kept, upload: kind == "upload", behind: kind == "behind", path: path}
+					t.Run(fmt.Sprintf("%s, %s, kept=%v, %s", hop.name, path, kept, kind), func(t *testing.T) { s.run(t, cases) })
 				}
 			}
 		}
--- a/internal/http1/framing.go
+++ b/internal/http1/framing.go
@@ -138,7 +138,7 @@
 	switch {
 	case err == io.EOF:
 		err = b.readTrailer()
-	case err != nil && !b.reader.source.failed:
+	case err != nil && b.reader.source.err == nil:
 		err = malformed("%v", err)
 	}
 	b.err = err
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -5,10 +5,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"math"
 	"net/http"
 	"net/textproto"
+	"os"
 
 	"github.com/rotisserie/eris"
 )
@@ -100,11 +102,11 @@
 	return answer, nil
 }
 
-// lineError returns the error for a line that can't be parsed: a line without its end, at the
-// end of the connection, isn't malformed but cut.
+// lineError returns the error for a line that can't be parsed: one behind which the connection
+// failed isn't malformed but cut.
 func (r *Reader) lineError(err error) error {
-	if r.source.failed {
-		return io.ErrUnexpectedEOF
+	if r.source.err != nil {
+		return unexpected(r.source.err)
 	}
 	return err
 }
@@ -113,12 +115,16 @@
 type boundedReader struct {
 	conn      io.Reader
 	remaining int64
-	// failed reports whether the connection has ended or failed.
-	failed bool
+	// err is the error of the last read.
+	err error
 }
 
-// Read implements io.Reader. It fails once no bytes remain.
+// Read implements io.Reader. It fails once no bytes remain. After an error that ended the
+// connection it returns the same one: a socket reports a reset once, and then only the end.
 func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.err != nil && !errors.Is(r.err, os.ErrDeadlineExceeded) {
+		return 0, r.err
+	}
 	if r.remaining <= 0 {
 		return 0, ErrTooLarge
 	}
@@ -127,7 +133,7 @@
 	}
 	n, err := r.conn.Read(p)
 	r.remaining -= int64(n)
-	r.failed = err != nil
+	r.err = err
 	return n, err
 }
 
--- a/internal/http1/reader_test.go
+++ b/internal/http1/reader_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -176,3 +177,35 @@
 		}
 	})
 }
+
+// stallingConn returns a timeout at the end of each part.
+type stallingConn struct{ parts []string }
+
+func (c *stallingConn) Read(p []byte) (int, error) {
+	n := copy(p, c.parts[0])
+	c.parts[0] = c.parts[0][n:]
+	if n == 0 {
+		c.parts = c.parts[1:]
+		return 0, os.ErrDeadlineExceeded
+	}
+	return n, nil
+}
+
+// Guards against a slow answer that is taken for a malformed one, and against a wait in parts
+// that ends with the first.
+func TestTimeouts(t *testing.T) {
+	for _, part := range []string{"HTTP/1.1 2", "HTTP/1.1 200 OK\r\nConte", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX"} {
+		Convey(fmt.Sprintf("A timeout after %q is a timeout", part), t, func() {
+			_, _, err := readFinal(&stallingConn{[]string{part, ""}}, http.MethodGet)
+			So(errors.Is(err, os.ErrDeadlineExceeded), ShouldBeTrue)
+			So(errors.Is(err, ErrMalformed), ShouldBeFalse)
+		})
+	}
+	Convey("A wait can be repeated after a timeout", t, func() {
+		r := NewReader(&stallingConn{[]string{"", "HTTP/1.1 204 No Content\r\n\r\n"}}, 64, testHeadBytes)
+		So(errors.Is(r.AwaitByte(), os.ErrDeadlineExceeded), ShouldBeTrue)
+		So(r.AwaitByte(), ShouldBeNil)
+		_, err := r.ReadAnswer(http.MethodGet)
+		So(err, ShouldBeNil)
+	})
+}
--- a/internal/wire/upload_test.go
+++ b/internal/wire/upload_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -130,3 +132,45 @@
 		})
 	}
 }
+
+// resetOnce is a connection whose reset a read reports once. Later reads report its end, as
+// those of a socket do.
+type resetOnce struct {
+	earlyAnswer
+	reported *bool
+}
+
+func (c resetOnce) Read(p []byte) (int, error) {
+	n, err := c.earlyAnswer.Read(p)
+	if err == io.EOF && !*c.reported {
+		*c.reported = true
+		err = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+	}
+	return n, err
+}
+
+// TestResetDuringWait guards against an answer without a length that looks complete because
+// the wait for its next byte, not the reading of it, received the reset of the connection.
+// Answers are awaited so while requests behind them are being served (MIXED).
+func TestResetDuringWait(t *testing.T) {
+	for head, body := range map[string]string{
+		"HTTP/1.1 200 OK\r\n\r\n":                      "hello",
+		"HTTP/1.0 200 OK\r\n\r\n":                      "hello",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n": "",
+	} {
+		Convey(fmt.Sprintf("A reset that a wait receives breaks %q", head+body), t, func() {
+			client := NewClient(ClientOptions{Dial: func(context.Context, string, string) (net.Conn, error) {
+				return resetOnce{earlyAnswer{answer: strings.NewReader(head + body)}, new(bool)}, nil
+			}})
+			answer, err := client.Do(context.Background(), SendParams{Addr: "server", Call: testCall()})
+			So(err, ShouldBeNil)
+			got := make([]byte, len(body))
+			_, err = io.ReadFull(answer.Body, got)
+			So(err, ShouldBeNil)
+			So(string(got), ShouldEqual, body)
+			So(answer.Body.(ByteAwaiter).AwaitByte(time.Now().Add(time.Second)), ShouldBeTrue)
+			_, err = answer.Body.Read(make([]byte, 1))
+			So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+		})
+	}
+}
