pipeline: a broken answer over TLS doesn't look complete to HTTP/1.0

Cause: to such a caller a broken answer ends with a reset, but the connection was closed through TLS, whose closing message announces an orderly end and arrives before the reset.

Change: the socket below TLS is closed.

Evidence: pipeline TestBrokenAnswerToOldVersion before, with TLS: "Expected: true Actual: false". After: passes with and without TLS, three runs with the race detector.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -449,7 +449,7 @@
 	case c.aborted && c.framer.head.oldVersion:
 		// To a caller of HTTP/1.0, the end of the connection is the end of the answer; a
 		// reset shows that the answer is not complete.
-		resetOnClose(c.Conn)
+		return resetConn(c.Conn)
 	case c.pipelined && c.readErr == nil:
 		go linger(c.Conn)
 		return nil
@@ -468,11 +468,14 @@
 	_, _ = io.Copy(io.Discard, nc) // ends with the caller's close or the deadline
 }
 
-// resetOnClose makes the coming close of a connection reset it.
-func resetOnClose(nc net.Conn) {
-	if tcp, ok := wire.SocketOf(nc).(interface{ SetLinger(int) error }); ok {
+// resetConn closes a connection with a reset, and without the closing message of TLS, which
+// announces an orderly end.
+func resetConn(nc net.Conn) error {
+	socket := wire.SocketOf(nc)
+	if tcp, ok := socket.(interface{ SetLinger(int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only on a closed connection
 	}
+	return socket.Close()
 }
 
 // closeIfIdle closes the connection if it has had no request since the given time. The
