wire: the order of close and reset is tested on sockets

TestResetDuringUpload supposes what a socket reports in which order; this test checks it with a real peer.

--- a/internal/wire/upload_test.go
+++ b/internal/wire/upload_test.go
@@ -17,6 +17,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/egretfield/egretfield/internal/standin/rawanswer"
 )
 
 // earlyAnswer is a connection on which the answer can be read before the request was
@@ -174,3 +176,42 @@
 		})
 	}
 }
+
+// TestResetOrder checks on sockets what TestResetDuringUpload supposes: after a reset alone, and
+// after a close with a reset behind it, the body is read once the upload has failed.
+func TestResetOrder(t *testing.T) {
+	for name, answer := range map[string]rawanswer.Case{
+		"a reset":                     {Raw: "HTTP/1.1 200 OK\r\n\r\nhello", End: rawanswer.Reset, Broken: true},
+		"a close and a reset":         {Raw: "HTTP/1.1 413 Content Too Large\r\n\r\nhello", End: rawanswer.FinishThenReset},
+		"a length, close and a reset": {Raw: "HTTP/1.1 413 Content Too Large\r\nContent-Length: 5\r\n\r\nhello", End: rawanswer.FinishThenReset},
+	} {
+		Convey("The answer to an upload ends with "+name, t, func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer l.Close()
+			go func() {
+				nc, err := l.Accept()
+				if err == nil {
+					rawanswer.Serve(nc, func(*http.Request) rawanswer.Case { return answer })
+				}
+			}()
+			body := &watchedBody{Reader: io.LimitReader(zeros{}, 1<<30)}
+			call := testCall()
+			call.Method, call.Body, call.BodyBytes = http.MethodPost, body, 1<<30
+			client := NewClient(ClientOptions{})
+			got, err := client.Do(context.Background(), SendParams{Addr: l.Addr().String(), Call: call})
+			So(err, ShouldBeNil)
+			for reads := int32(-1); reads != body.reads.Load(); time.Sleep(200 * time.Millisecond) {
+				reads = body.reads.Load() // until the upload has ended
+			}
+			data, err := io.ReadAll(got.Body)
+			So(err != nil, ShouldEqual, answer.Broken)
+			So(string(data), ShouldEqual, "hello")
+		})
+	}
+}
+
+// zeros is an endless source of bytes.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
