wire, gate: a connection that the kernel has given up isn't awaited

Since the reader of a connection keeps its error, a wait for an answer whose connection ended with ETIMEDOUT would have asked about the connection again and again until its deadline: ETIMEDOUT counted as a timeout of the wait. It doesn't any more; a caller's connection that ends so has ended, too.

A malformed health path is an error again, as it was with http.Client, and an answer whose caller has left isn't logged as broken off by its server.

--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -13,9 +13,11 @@
 // been read to its end or closed.
 type answerBody struct {
 	io.ReadCloser
-	run    *run
-	failed bool
-	ended  bool
+	run *run
+	// contextErr returns the error with which the call's context ended, if it has.
+	contextErr func() error
+	failed     bool
+	ended      bool
 }
 
 // Read reads the body. It also copies the body of an answer that is kept for queries
@@ -50,12 +52,14 @@
 // answer took too long.
 func (b *answerBody) handleBroken(err error) {
 	b.ended = true
-	b.run.gate.counters.brokenAnswer(err)
-	b.run.gate.traceBrokenOff(b.run, err)
 	if by := b.run.call.AnswerBy; !by.IsZero() && !time.Now().Before(by) {
 		b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, runResult{failed: true})
 		return
 	}
+	if b.contextErr() == nil {
+		b.run.gate.counters.brokenAnswer(err)
+		b.run.gate.traceBrokenOff(b.run, err)
+	}
 	b.run.gate.handleBrokenConnection(context.Background(), b.run.server, b.run.suspect)
 	b.run.end(pb.AttemptState_ATTEMPT_STATE_UNKNOWN, nil, runResult{failed: true})
 }
--- a/internal/gate/brokenhealth_test.go
+++ b/internal/gate/brokenhealth_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -54,3 +56,15 @@
 		})
 	}
 }
+
+// Guards against a configured path that adds lines to the request.
+func TestMalformedHealthPath(t *testing.T) {
+	Convey("A malformed path isn't asked for", t, func() {
+		prober := newHealthProber("127.0.0.1:1", nil, nil)
+		defer prober.close()
+		for _, path := range []string{"", "health", "/a\r\nX: b", "/%zz"} {
+			_, err := prober.get(context.Background(), prober.client, path, time.Second)
+			So(errors.As(err, new(*url.Error)), ShouldBeTrue)
+		}
+	})
+}
--- a/internal/gate/do.go
+++ b/internal/gate/do.go
@@ -137,7 +137,7 @@
 		return answer
 	}
 	r.startKeptCopy(answer)
-	answer.Body = &answerBody{ReadCloser: answer.Body, run: r, failed: answer.Status >= http.StatusInternalServerError}
+	answer.Body = &answerBody{ReadCloser: answer.Body, run: r, contextErr: ctx.Err, failed: answer.Status >= http.StatusInternalServerError}
 	return answer
 }
 
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -143,9 +144,13 @@
 // get asks the server's health endpoint. An answer that isn't whole, up to maxHealthBytes of
 // its body, is an error.
 func (p *healthProber) get(ctx context.Context, client *wire.Client, path string, timeout time.Duration) (*healthReport, error) {
+	target, err := url.ParseRequestURI(path)
+	if err != nil {
+		return nil, err
+	}
 	report := &healthReport{askedAt: time.Now()}
 	deadline := report.askedAt.Add(timeout)
-	call := &wire.Call{Method: http.MethodGet, URI: path, Host: p.address, AnswerBy: deadline}
+	call := &wire.Call{Method: http.MethodGet, URI: target.RequestURI(), Host: p.address, AnswerBy: deadline}
 	call.Deadline = deadline
 	answer, err := client.Do(ctx, wire.SendParams{Addr: p.address, Call: call})
 	if err != nil {
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -154,8 +154,9 @@
 	return nc
 }
 
-// IsTimeout reports whether err means that a read or write deadline has passed.
+// IsTimeout reports whether err means that a read or write deadline has passed. ETIMEDOUT
+// doesn't: the kernel has given the connection up.
 func IsTimeout(err error) bool {
 	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	return errors.As(err, &timeout) && timeout.Timeout() && !errors.Is(err, syscall.ETIMEDOUT)
 }
--- a/internal/wire/upload_test.go
+++ b/internal/wire/upload_test.go
@@ -177,6 +177,31 @@
 	}
 }
 
+// Guards against a wait for an answer that asks about its connection again and again although
+// the kernel has given that up.
+func TestConnectionGivenUpDuringWait(t *testing.T) {
+	Convey("A wait ends with the connection", t, func() {
+		client := NewClient(ClientOptions{Dial: func(context.Context, string, string) (net.Conn, error) {
+			return givenUp{}, nil
+		}})
+		checks := 0
+		_, err := client.Do(context.Background(), SendParams{Addr: "server", Call: testCall(), Check: func(context.Context, time.Duration, bool) Verdict {
+			checks++
+			time.Sleep(time.Millisecond)
+			return VerdictWait
+		}})
+		So(errors.Is(err, syscall.ETIMEDOUT), ShouldBeTrue)
+		So(checks, ShouldEqual, 0)
+	})
+}
+
+// givenUp is a connection whose peer doesn't acknowledge what was sent.
+type givenUp struct{ earlyAnswer }
+
+func (givenUp) Read([]byte) (int, error) {
+	return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+}
+
 // TestResetOrder checks on sockets what TestResetDuringUpload supposes: after a reset alone, and
 // after a close with a reset behind it, the body is read once the upload has failed.
 func TestResetOrder(t *testing.T) {
