gate: the end of an early answer to an upload isn't held back

What callers saw: a sound early answer without a length, or in chunks, to a long upload through another node ended a second late; on a route with a timeout of 1 s its connection broke before its end.

Cause: after an early answer the gate reads on for up to a second so that the sender can stop, but net/http sends the end of an answer of unknown length when the handler returns, after that. The sender doesn't stop before it knows that the answer is complete.

Change: after an answer of unknown length the gate returns at once.

--- a/internal/gate/http.go
+++ b/internal/gate/http.go
@@ -32,7 +32,9 @@
 	}
 	answer := g.Do(r.Context(), call)
 	g.write(w, answer, &meta)
-	if call.Streams() && !bodyNotRequested(answer) {
+	if call.Streams() && !bodyNotRequested(answer) && answer.BodyBytes >= 0 {
+		// The end of an answer of unknown length is sent when this function returns; until
+		// then the entry goes on sending.
 		wire.Linger(w, r.Body)
 	}
 }
